Add replicated tables, messages, settings and the design page

Cause: the project is empty; parallel work needs shared types first. Ruled out: messages per module without a shared wire module, because entry and control hosts would each define their own copy. Conclusion: the tables are pure, so control and entry hosts apply the same code.

--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,11 @@
+//! Query tier over many shards: routing, limits, snapshots of the index and true coverage.
+
+pub mod control;
+pub mod error;
+pub mod event;
+pub mod metric;
+pub mod policy;
+pub mod settings;
+pub mod state;
+pub mod trace;
+pub mod wire;
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,3 @@
+//! Decisions without sockets and clocks: time is passed in.
+
+pub mod ownership;
--- /dev/null
+++ b/src/state/label.rs
@@ -0,0 +1,113 @@
+//! Labels, matches on labels, and the objects that carry labels.
+
+use std::{collections::BTreeMap, fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString, IntoStaticStr, VariantArray};
+
+use crate::error::{Error, Kind};
+
+/// The longest name, label key or label value, in bytes.
+pub const MAX_NAME_LEN: usize = 128;
+
+/// Labels of one object: key to value.
+pub type Labels = BTreeMap<String, String>;
+
+/// Checks a name, label key or label value.
+pub fn check_name(name: &str) -> Result<(), Error> {
+    if name.is_empty() || name.len() > MAX_NAME_LEN {
+        let message = format!("a name has 1 to {MAX_NAME_LEN} bytes, not {}", name.len());
+        return Err(Error::new(Kind::BadRequest, message));
+    }
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.:@".contains(c);
+    if let Some(c) = name.chars().find(|&c| !allowed(c)) {
+        let message = format!("{c:?} is not allowed in the name {name:?}");
+        return Err(Error::new(Kind::BadRequest, message));
+    }
+    Ok(())
+}
+
+/// A match on labels: every listed label must have the listed value. An empty match matches everything.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Match(pub Labels);
+
+impl Match {
+    /// Whether these labels satisfy the match.
+    pub fn matches(&self, labels: &Labels) -> bool {
+        self.0.iter().all(|(key, value)| labels.get(key) == Some(value))
+    }
+}
+
+/// The kinds of objects that carry labels.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    VariantArray,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum ObjectKind {
+    /// An availability zone.
+    Zone,
+    /// A target.
+    Target,
+    /// An entry host.
+    Node,
+    /// A caller.
+    Caller,
+    /// A request kind.
+    Kind,
+    /// An index version, named `INDEX@NUMBER`.
+    Version,
+}
+
+/// The name of an object that carries labels, written `KIND/NAME`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Object {
+    /// The kind of the object.
+    pub kind: ObjectKind,
+    /// The name of the object.
+    pub name: String,
+}
+
+impl Object {
+    /// Makes the name of an object.
+    pub fn new(kind: ObjectKind, name: impl Into<String>) -> Self {
+        Self { kind, name: name.into() }
+    }
+}
+
+impl fmt::Display for Object {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind, self.name)
+    }
+}
+
+impl FromStr for Object {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let Some((kind, name)) = text.split_once('/') else {
+            return Err(Error::new(Kind::BadRequest, format!("{text:?} is not KIND/NAME")));
+        };
+        let Ok(kind) = kind.parse() else {
+            let message =
+                format!("{kind:?} is not one of zone, target, node, caller, kind, version");
+            return Err(Error::new(Kind::BadRequest, message));
+        };
+        check_name(name)?;
+        Ok(Self::new(kind, name))
+    }
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,18 @@
+//! The replicated tables: configuration, membership, claims and quarantine. Pure and deterministic.
+
+mod change;
+mod claim;
+mod config;
+mod label;
+mod tables;
+mod view;
+
+pub use change::{Change, ChangeId, Entry, Reply};
+pub use claim::{Claim, Claims, KEY_LIFETIME_MS, Settlement};
+pub use config::{
+    Config, Group, Holding, Node, Phase, QUARANTINE_MS, QUARANTINE_TARGETS, Revision, Selector,
+    Suspect, Target, Version,
+};
+pub use label::{Labels, MAX_NAME_LEN, Match, Object, ObjectKind, check_name};
+pub use tables::Tables;
+pub use view::{GroupView, NodeKey, NodeView, TargetKey, TargetView, VersionView, View};
--- /dev/null
+++ b/src/state/view.rs
@@ -0,0 +1,266 @@
+//! The routing view of one revision: arenas with small keys, built once per revision and then shared.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
+
+use crate::{
+    error::{Error, Kind},
+    policy::ownership,
+    state::{Config, Group, Labels, ObjectKind, Phase, Revision, Selector},
+    wire::owner::Class,
+};
+
+/// A target of a view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TargetKey(pub u32);
+
+/// An entry host of a view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct NodeKey(pub u32);
+
+/// A target as the view sees it.
+#[derive(Clone, Debug)]
+pub struct TargetView {
+    /// The name of the target.
+    pub name: String,
+    /// The process of the target.
+    pub incarnation: u64,
+    /// The address of its HTTP listener.
+    pub addr: SocketAddr,
+    /// The availability zone.
+    pub zone: String,
+    /// How many requests it runs at once when warm.
+    pub slots: u32,
+    /// How many requests it bears in a cold start.
+    pub warm_up: u32,
+    /// How many connections it accepts.
+    pub connections: u32,
+    /// Whether new work may go there, by phase and labels.
+    pub usable: bool,
+    /// The entry host that owns it.
+    pub owner: Option<NodeKey>,
+}
+
+/// An entry host as the view sees it.
+#[derive(Clone, Debug)]
+pub struct NodeView {
+    /// The name of the host.
+    pub name: String,
+    /// The process of the host.
+    pub incarnation: u64,
+    /// The address for callers.
+    pub http: SocketAddr,
+    /// The address for other processes of the system.
+    pub rpc: SocketAddr,
+    /// The availability zone.
+    pub zone: String,
+    /// Whether it owns targets and stands in the list for callers.
+    pub usable: bool,
+}
+
+/// The replicas of one index version in a group.
+#[derive(Clone, Debug)]
+pub struct VersionView {
+    /// The number of the version.
+    pub number: u64,
+    /// Whether operators took it out of use.
+    pub retired: bool,
+    /// The targets of each shard, usable or not.
+    pub shards: Vec<Vec<TargetKey>>,
+}
+
+/// A group as the view sees it.
+#[derive(Clone, Debug)]
+pub struct GroupView {
+    /// The name of the group.
+    pub name: String,
+    /// The index that it serves.
+    pub index: String,
+    /// The versions of the index, the newest first.
+    pub versions: Vec<VersionView>,
+}
+
+/// The routing view of one revision.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The revision that the view was built from.
+    pub revision: Revision,
+    targets: Vec<TargetView>,
+    target_keys: HashMap<String, TargetKey>,
+    nodes: Vec<NodeView>,
+    groups: HashMap<String, GroupView>,
+    selectors: Vec<Selector>,
+    callers: HashMap<String, Labels>,
+    kinds: HashMap<String, Labels>,
+    quarantine: Vec<u64>,
+}
+
+impl View {
+    /// Builds the view of a configuration.
+    pub fn build(config: &Config) -> Self {
+        let mut view = Self {
+            revision: config.revision,
+            selectors: config.selectors.values().cloned().collect(),
+            callers: labels_by_name(config, ObjectKind::Caller),
+            kinds: labels_by_name(config, ObjectKind::Kind),
+            quarantine: config
+                .suspects
+                .keys()
+                .copied()
+                .filter(|&it| config.quarantined(it))
+                .collect(),
+            ..Self::default()
+        };
+        view.add_nodes(config);
+        view.add_targets(config);
+        for group in config.groups.values() {
+            let group_view = view.group_view(config, group);
+            view.groups.insert(group.name.clone(), group_view);
+        }
+        view
+    }
+
+    /// The target with this key.
+    pub fn target(&self, key: TargetKey) -> &TargetView {
+        &self.targets[key.0 as usize]
+    }
+
+    /// The key of the target with this name.
+    pub fn target_key(&self, name: &str) -> Option<TargetKey> {
+        self.target_keys.get(name).copied()
+    }
+
+    /// All targets with their keys.
+    pub fn targets(&self) -> impl Iterator<Item = (TargetKey, &TargetView)> {
+        self.targets.iter().enumerate().map(|(i, it)| (TargetKey(i as u32), it))
+    }
+
+    /// The entry host with this key.
+    pub fn node(&self, key: NodeKey) -> &NodeView {
+        &self.nodes[key.0 as usize]
+    }
+
+    /// All entry hosts with their keys.
+    pub fn nodes(&self) -> impl Iterator<Item = (NodeKey, &NodeView)> {
+        self.nodes.iter().enumerate().map(|(i, it)| (NodeKey(i as u32), it))
+    }
+
+    /// The group with this name.
+    pub fn group(&self, name: &str) -> Option<&GroupView> {
+        self.groups.get(name)
+    }
+
+    /// The group, if a selector admits this caller and request kind to it. There is no access by default, and an
+    /// unknown group gives the same answer as a forbidden one.
+    pub fn admit(&self, caller: &str, kind: &str, group: &str) -> Result<&GroupView, Error> {
+        let none = Labels::new();
+        let labels = self.callers.get(caller).unwrap_or(&none);
+        let admitted = self
+            .selectors
+            .iter()
+            .any(|it| it.group == group && it.kinds.contains(kind) && it.callers.matches(labels));
+        if admitted && let Some(view) = self.groups.get(group) {
+            return Ok(view);
+        }
+        let message = format!("no selector admits caller {caller:?} with {kind:?} to {group:?}");
+        Err(Error::new(Kind::NotAdmitted, message))
+    }
+
+    /// The admission class of a request kind.
+    pub fn class(&self, kind: &str) -> Class {
+        self.kind_label(kind, "class").and_then(|it| it.parse().ok()).unwrap_or(Class::Broad)
+    }
+
+    /// Whether a request of this kind may be repeated.
+    pub fn idempotent(&self, kind: &str) -> bool {
+        self.kind_label(kind, "idempotent") != Some("false")
+    }
+
+    /// Whether a request fingerprint is blocked.
+    pub fn quarantined(&self, fingerprint: u64) -> bool {
+        self.quarantine.binary_search(&fingerprint).is_ok()
+    }
+
+    fn kind_label(&self, kind: &str, key: &str) -> Option<&str> {
+        self.kinds.get(kind)?.get(key).map(String::as_str)
+    }
+
+    fn add_nodes(&mut self, config: &Config) {
+        for node in config.nodes.values() {
+            let drained = drained(config, ObjectKind::Node, &node.name, &node.zone);
+            self.nodes.push(NodeView {
+                name: node.name.clone(),
+                incarnation: node.incarnation,
+                http: node.http,
+                rpc: node.rpc,
+                zone: node.zone.clone(),
+                usable: !node.leaving && !drained,
+            });
+        }
+    }
+
+    fn add_targets(&mut self, config: &Config) {
+        for target in config.targets.values() {
+            let drained = drained(config, ObjectKind::Target, &target.name, &target.zone);
+            let owner = ownership::owner(&target.name, &target.zone, &self.nodes);
+            self.target_keys.insert(target.name.clone(), TargetKey(self.targets.len() as u32));
+            self.targets.push(TargetView {
+                name: target.name.clone(),
+                incarnation: target.incarnation,
+                addr: target.addr,
+                zone: target.zone.clone(),
+                slots: target.slots,
+                warm_up: target.warm_up.min(target.slots),
+                connections: target.connections,
+                usable: target.phase == Phase::Serving && !drained,
+                owner,
+            });
+        }
+    }
+
+    fn group_view(&self, config: &Config, group: &Group) -> GroupView {
+        let mut versions: BTreeMap<u64, VersionView> = config
+            .versions
+            .iter()
+            .filter(|((index, _), _)| *index == group.index)
+            .map(|((index, number), layout)| {
+                let name = format!("{index}@{number}");
+                let retired = config.has_label(ObjectKind::Version, &name, "retired", "true");
+                let shards = vec![Vec::new(); layout.shards as usize];
+                (*number, VersionView { number: *number, retired, shards })
+            })
+            .collect();
+        for (key, target) in config.targets.values().enumerate() {
+            if !group.targets.matches(&config.labels_of(ObjectKind::Target, &target.name)) {
+                continue;
+            }
+            for holding in target.holdings.iter().filter(|it| it.index == group.index) {
+                let Some(version) = versions.get_mut(&holding.version) else { continue };
+                if let Some(shard) = version.shards.get_mut(holding.shard as usize) {
+                    shard.push(TargetKey(key as u32));
+                }
+            }
+        }
+        GroupView {
+            name: group.name.clone(),
+            index: group.index.clone(),
+            versions: versions.into_values().rev().collect(),
+        }
+    }
+}
+
+fn drained(config: &Config, kind: ObjectKind, name: &str, zone: &str) -> bool {
+    config.has_label(kind, name, "drain", "true")
+        || config.has_label(ObjectKind::Zone, zone, "drain", "true")
+}
+
+fn labels_by_name(config: &Config, kind: ObjectKind) -> HashMap<String, Labels> {
+    config
+        .labels
+        .iter()
+        .filter(|(object, _)| object.kind == kind)
+        .map(|(object, labels)| (object.name.clone(), labels.clone()))
+        .collect()
+}
--- /dev/null
+++ b/tests/state/config.rs
@@ -0,0 +1,85 @@
+use gentianpass::{
+    error::Kind,
+    state::{Change, QUARANTINE_MS, Reply},
+};
+
+use crate::{Fixture, group, selector, set_label, target};
+
+/// Guards against a coverage total that forgets a shard without replicas.
+#[test]
+fn versions_keep_lost_shard() {
+    let mut fixture = Fixture::default();
+    fixture.accept(Change::PutTarget(target("a", "z", 1, 0, 2)));
+    fixture.accept(Change::PutTarget(target("b", "z", 1, 1, 2)));
+    fixture.accept(Change::RemoveTarget { name: "b".into(), incarnation: 1 });
+    assert_eq!(fixture.tables.config.versions[&("labels".into(), 1)].shards, 2);
+}
+
+/// Guards against versions that pile up after each index build.
+#[test]
+fn versions_drop_superseded() {
+    let mut fixture = Fixture::default();
+    fixture.accept(Change::PutTarget(target("a", "z", 1, 0, 1)));
+    fixture.accept(Change::PutTarget(target("a", "z", 2, 0, 1)));
+    let versions: Vec<_> = fixture.tables.config.versions.keys().cloned().collect();
+    assert_eq!(versions, [("labels".to_owned(), 2)]);
+}
+
+/// Guards against a target that gives another shard count for a known version.
+#[test]
+fn put_target_other_layout() {
+    let mut fixture = Fixture::default();
+    fixture.accept(Change::PutTarget(target("a", "z", 1, 0, 2)));
+    let reply = fixture.apply(Change::PutTarget(target("b", "z", 1, 0, 3)));
+    assert!(matches!(reply, Reply::Rejected(err) if err.kind == Kind::BadRequest));
+}
+
+/// Guards against a late message of a replaced process.
+#[test]
+fn put_target_old_incarnation() {
+    let mut fixture = Fixture::default();
+    let mut newer = target("a", "z", 1, 0, 1);
+    newer.incarnation = 2;
+    fixture.accept(Change::PutTarget(newer));
+    let reply = fixture.apply(Change::PutTarget(target("a", "z", 1, 0, 1)));
+    assert!(matches!(reply, Reply::Rejected(err) if err.kind == Kind::Conflict));
+    fixture.accept(Change::RemoveTarget { name: "a".into(), incarnation: 1 });
+    assert!(fixture.tables.config.targets.contains_key("a"));
+}
+
+/// Guards against selectors that name nothing.
+#[test]
+fn remove_group_in_use() {
+    let mut fixture = Fixture::default();
+    fixture.accept(Change::PutGroup(group()));
+    fixture.accept(Change::PutSelector(selector()));
+    let reply = fixture.apply(Change::RemoveGroup { name: "label-designer".into() });
+    assert!(matches!(reply, Reply::Rejected(_)));
+    fixture.accept(Change::RemoveSelector { name: "designers".into() });
+    fixture.accept(Change::RemoveGroup { name: "label-designer".into() });
+}
+
+/// Guards against a quarantine after one crash, or one that never ends.
+#[test]
+fn suspect_two_targets() {
+    let mut fixture = Fixture::default();
+    let suspect = |target: &str| Change::Suspect { fingerprint: 7, target: target.into() };
+    fixture.accept(suspect("a"));
+    fixture.accept(suspect("a"));
+    assert!(!fixture.tables.config.quarantined(7));
+    fixture.accept(suspect("b"));
+    assert!(fixture.tables.config.quarantined(7));
+    fixture.now_ms = QUARANTINE_MS;
+    fixture.accept(Change::Tick);
+    assert!(!fixture.tables.config.quarantined(7));
+}
+
+/// Guards against a revision that grows although nothing changed.
+#[test]
+fn set_label_same_value() {
+    let mut fixture = Fixture::default();
+    fixture.accept(set_label("zone/z", "drain", "true"));
+    let revision = fixture.tables.config.revision;
+    fixture.accept(set_label("zone/z", "drain", "true"));
+    assert_eq!(fixture.tables.config.revision, revision);
+}
--- /dev/null
+++ b/tests/state/view.rs
@@ -0,0 +1,72 @@
+use gentianpass::{
+    error::Kind,
+    state::{Change, View},
+    wire::owner::Class,
+};
+
+use crate::{Fixture, group, node, selector, set_label, target};
+
+fn fixture() -> Fixture {
+    let mut fixture = Fixture::default();
+    fixture.accept(Change::PutGroup(group()));
+    fixture.accept(Change::PutSelector(selector()));
+    fixture.accept(set_label("caller/janitor", "team", "design"));
+    for zone in ["x", "y"] {
+        fixture.accept(Change::PutNode(node(&format!("entry-{zone}"), zone)));
+        fixture.accept(Change::PutTarget(target(&format!("t-{zone}"), zone, 1, 0, 1)));
+    }
+    fixture
+}
+
+/// Guards against access without a selector.
+#[test]
+fn admit_default_deny() {
+    let view = View::build(&fixture().tables.config);
+    assert!(view.admit("janitor", "label-search", "label-designer").is_ok());
+    for (caller, kind, group) in [
+        ("stranger", "label-search", "label-designer"),
+        ("janitor", "print-dispatch", "label-designer"),
+        ("janitor", "label-search", "print-queue"),
+    ] {
+        let err = view.admit(caller, kind, group).expect_err("denied");
+        assert_eq!(err.kind, Kind::NotAdmitted);
+    }
+}
+
+/// Guards against new work for a zone that operators took out.
+#[test]
+fn build_drained_zone() {
+    let mut fixture = fixture();
+    fixture.accept(set_label("zone/x", "drain", "true"));
+    let view = View::build(&fixture.tables.config);
+    let usable: Vec<_> =
+        view.targets().filter(|(_, it)| it.usable).map(|(_, it)| &it.name).collect();
+    assert_eq!(usable, ["t-y"]);
+    let nodes: Vec<_> = view.nodes().filter(|(_, it)| it.usable).map(|(_, it)| &it.name).collect();
+    assert_eq!(nodes, ["entry-y"]);
+    let shards = &view.group("label-designer").expect("group").versions[0].shards;
+    assert_eq!(shards[0].len(), 2, "a drained replica still belongs to its shard");
+}
+
+/// Guards against owners in other zones while the target's own zone has an entry host.
+#[test]
+fn build_owner_own_zone() {
+    let view = View::build(&fixture().tables.config);
+    for (_, target) in view.targets() {
+        let owner = view.node(target.owner.expect("owner"));
+        assert_eq!(owner.zone, target.zone);
+    }
+}
+
+/// Guards against classes and repetition rules that ignore labels.
+#[test]
+fn kind_labels() {
+    let mut fixture = fixture();
+    fixture.accept(set_label("kind/label-search", "class", "quick"));
+    fixture.accept(set_label("kind/print-dispatch", "idempotent", "false"));
+    let view = View::build(&fixture.tables.config);
+    assert_eq!(view.class("label-search"), Class::Quick);
+    assert_eq!(view.class("other"), Class::Broad);
+    assert!(!view.idempotent("print-dispatch"));
+    assert!(view.idempotent("label-search"));
+}
