--- a/src/state/label.rs
+++ b/src/state/label.rs
@@ -75,6 +75,7 @@
 
 /// The name of an object that carries labels, written `KIND/NAME`.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
 pub struct Object {
     /// The kind of the object.
     pub kind: ObjectKind,
@@ -95,6 +96,20 @@
     }
 }
 
+impl From<Object> for String {
+    fn from(object: Object) -> Self {
+        object.to_string()
+    }
+}
+
+impl TryFrom<String> for Object {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self, Error> {
+        text.parse()
+    }
+}
+
 impl FromStr for Object {
     type Err = Error;
 
--- a/src/wire/operator.rs
+++ b/src/wire/operator.rs
@@ -1,10 +1,12 @@
 //! JSON bodies between operators' tools and control hosts.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
     error::Kind,
-    state::{Group, Object, Revision, Selector},
+    state::{Group, Labels, Node, Object, Revision, Selector, Target},
 };
 
 /// A change that operators make.
@@ -67,3 +69,116 @@
     /// Details for the reader.
     pub message: String,
 }
+
+/// Answer to `GET /v1/state` on control hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// The revision in force.
+    pub revision: Revision,
+    /// The revision that the next change builds on.
+    pub operator_revision: Revision,
+    /// Operators' labels.
+    pub labels: Vec<ObjectLabels>,
+    /// All groups.
+    pub groups: Vec<Group>,
+    /// All selectors.
+    pub selectors: Vec<Selector>,
+    /// All entry hosts.
+    pub nodes: Vec<Node>,
+    /// All targets.
+    pub targets: Vec<Target>,
+    /// The layouts of all index versions.
+    pub versions: Vec<VersionState>,
+    /// Requests that crashed targets.
+    pub suspects: Vec<SuspectState>,
+    /// The control hosts.
+    pub members: Vec<Member>,
+}
+
+/// The labels of one object.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObjectLabels {
+    /// The object.
+    pub object: Object,
+    /// Its labels.
+    pub labels: Labels,
+}
+
+/// An index version and how much of it targets hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionState {
+    /// The index.
+    pub index: String,
+    /// The version.
+    pub version: u64,
+    /// The number of shards.
+    pub shards: u32,
+    /// How many shards at least one target holds.
+    pub held: u32,
+}
+
+/// A request that crashed targets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectState {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// The targets that crashed.
+    pub targets: Vec<String>,
+    /// Whether it is blocked.
+    pub quarantined: bool,
+    /// When this ends, in milliseconds since the Unix epoch.
+    pub until_ms: u64,
+}
+
+/// A control host as the answering one sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The member identity.
+    pub id: String,
+    /// The name of the host.
+    pub name: String,
+    /// The availability zone.
+    pub zone: String,
+    /// The RPC address.
+    pub rpc: SocketAddr,
+    /// One of `leader`, `voter`, `learner`.
+    pub role: String,
+}
+
+/// Answer to `GET /v1/status` on entry hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryStatus {
+    /// The name of the host.
+    pub name: String,
+    /// The availability zone.
+    pub zone: String,
+    /// The revision in force.
+    pub revision: Revision,
+    /// What is left of the freshness lease, in milliseconds.
+    pub lease_left_ms: u64,
+    /// Whether the host is shutting down.
+    pub leaving: bool,
+    /// The targets that the host owns.
+    pub targets: Vec<OwnedTarget>,
+}
+
+/// A target as its owner sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnedTarget {
+    /// The name of the target.
+    pub name: String,
+    /// The availability zone.
+    pub zone: String,
+    /// How many requests the owner runs there at once.
+    pub limit: u32,
+    /// How many it could run there.
+    pub slots: u32,
+    /// How many run now.
+    pub in_flight: u32,
+    /// How many wait.
+    pub queued: u32,
+    /// Open connections.
+    pub connections: u32,
+    /// Why no new work goes there, if none does.
+    pub closed: Option<String>,
+}
