Add the decisions of the query root

Cause: the executor needs version, replica, hedge, retry, admission and canary decisions without sockets and clocks. Ruled out: coverage counted in shards (a half loaded version with more shards would win); budgets that start empty (the first failures after a start could not be retried). Conclusion: covered shares decide between incomplete versions; budgets hold spent <= percent + burst.

--- /dev/null
+++ b/tests/policy/admit.rs
@@ -0,0 +1,62 @@
+use std::time::Duration;
+
+use gentianpass::{error::Kind, policy::admit::Gate, wire::owner::Class};
+use proptest::prelude::*;
+
+const LEFT: Duration = Duration::from_millis(100);
+
+proptest! {
+    #![proptest_config(crate::cases(1_000))]
+
+    /// Guards against more queries than allowed, leaked permits, and broad queries in the share of quick ones.
+    #[test]
+    fn admit_like_naive(
+        max in 1..40_u64,
+        steps in prop::collection::vec((0..3_u8, any::<prop::sample::Index>()), 1..300),
+    ) {
+        let gate = Gate::new(max);
+        let max_broad = (max - (max / 4).max(1)).max(1);
+        let mut permits = Vec::new();
+        for (step, index) in steps {
+            if step == 2 {
+                if !permits.is_empty() {
+                    drop(permits.swap_remove(index.index(permits.len())));
+                }
+                continue;
+            }
+            let class = if step == 0 { Class::Quick } else { Class::Broad };
+            let broad = permits.iter().filter(|it: &&(Class, _)| it.0 == Class::Broad).count() as u64;
+            let free = permits.len() < max as usize && (class == Class::Quick || broad < max_broad);
+            let admitted = gate.admit(class, Duration::ZERO, LEFT);
+            prop_assert_eq!(admitted.is_ok(), free);
+            permits.extend(admitted.map(|it| (class, it)));
+        }
+        let running = gate.running(Class::Quick) + gate.running(Class::Broad);
+        prop_assert_eq!(running, permits.len() as u64);
+    }
+}
+
+/// Guards against quick queries that wait for an overload of broad ones.
+#[test]
+fn admit_broad_first() {
+    let gate = Gate::new(8);
+    let admit = |class| gate.admit(class, Duration::ZERO, LEFT);
+    let broad: Vec<_> = (0..6).map(|_| admit(Class::Broad).expect("admitted")).collect();
+    assert_eq!(admit(Class::Broad).expect_err("rejected"), Kind::Overloaded);
+    let quick = admit(Class::Quick).expect("admitted");
+    drop((broad, quick));
+    assert!(admit(Class::Broad).is_ok());
+}
+
+/// Guards against work that cannot end in time, and against rejections of quick queries for broad queues.
+#[test]
+fn admit_wait() {
+    let gate = Gate::new(8);
+    let wait = 2 * LEFT;
+    assert_eq!(gate.admit(Class::Broad, wait, LEFT).expect_err("rejected"), Kind::Overloaded);
+    let _broad = [0; 3].map(|_| gate.admit(Class::Broad, LEFT, LEFT).expect("admitted"));
+    let _quick = gate.admit(Class::Quick, wait, LEFT).expect("admitted");
+    assert!(gate.admit(Class::Quick, 5 * LEFT, LEFT).is_err());
+    let late = gate.admit(Class::Quick, Duration::ZERO, Duration::ZERO);
+    assert_eq!(late.expect_err("rejected"), Kind::DeadlinePassed);
+}
--- /dev/null
+++ b/tests/policy/budget.rs
@@ -0,0 +1,86 @@
+use std::time::Duration;
+
+use gentianpass::{
+    error::{Kind, Outcome},
+    policy::{
+        budget::{Budget, QueryRetries, RETRY_BURST, Rule, rule},
+        hedge::try_hedge,
+    },
+};
+use proptest::prelude::*;
+use strum::VariantArray;
+
+proptest! {
+    #![proptest_config(crate::cases(1_000))]
+
+    /// Guards against extra load beyond the budget, and against tokens that are lost by rounding.
+    #[test]
+    fn spend_like_naive(
+        percent in 0..=100_u64,
+        burst in 0..20_u32,
+        steps in prop::collection::vec((any::<bool>(), 0..200_u64), 1..200),
+    ) {
+        let mut budget = Budget::new(percent, burst);
+        let full = if percent == 0 { 0.0 } else { f64::from(burst) };
+        let mut tokens = full;
+        let (mut earned, mut spent) = (0, 0);
+        for (earn, n) in steps {
+            if earn {
+                budget.earn(n);
+                earned += n;
+                tokens = (tokens + n as f64 * percent as f64 / 100.0).min(full);
+                continue;
+            }
+            let n = n % 5;
+            let allowed = tokens + 1e-6 >= n as f64;
+            prop_assert_eq!(budget.try_spend(n), allowed);
+            if allowed {
+                tokens -= n as f64;
+                spent += n;
+            }
+        }
+        prop_assert!(spent * 100 <= earned * percent + full as u64 * 100);
+    }
+}
+
+/// Guards against a rule that differs from the error table, and against free retries of what may have run.
+#[test]
+fn rule_error_table() {
+    for &kind in Kind::VARIANTS {
+        assert_eq!(rule(kind) != Rule::GiveUp, kind.retryable(), "{kind}");
+        if rule(kind) == Rule::Free {
+            assert_eq!(kind.outcome(), Outcome::NotRun, "{kind}");
+        }
+    }
+}
+
+/// Guards against a query that is tried without end while every target refuses it.
+#[test]
+fn try_retry_limit() {
+    let mut budget = Budget::new(0, RETRY_BURST);
+    let mut retries = QueryRetries::new(10);
+    let sent = (0..100).filter(|_| retries.try_retry(Kind::Shed, &mut budget)).count();
+    assert_eq!(sent, 10);
+}
+
+/// Guards against retries beyond the budget after failures that may have run.
+#[test]
+fn try_retry_budget() {
+    let mut budget = Budget::new(5, 2);
+    let mut retries = QueryRetries::new(10);
+    let mut sent = |kind, n| (0..n).filter(|_| retries.try_retry(kind, &mut budget)).count();
+    assert_eq!(sent(Kind::Timeout, 5), 2);
+    assert_eq!(sent(Kind::Shed, 3), 3, "a refusal costs no token");
+    assert_eq!(sent(Kind::Quarantined, 1), 0);
+}
+
+/// Guards against a hedge that is too early, a third copy, and hedges beyond the budget.
+#[test]
+fn try_hedge_conditions() {
+    let mut budget = Budget::new(3, 1);
+    let ms = Duration::from_millis;
+    assert!(!try_hedge(1, ms(9), ms(10), &mut budget));
+    assert!(!try_hedge(2, ms(10), ms(10), &mut budget));
+    assert!(try_hedge(1, ms(10), ms(10), &mut budget));
+    assert!(!try_hedge(1, ms(10), ms(10), &mut budget));
+}
--- /dev/null
+++ b/tests/policy/canary.rs
@@ -0,0 +1,65 @@
+use gentianpass::{
+    policy::canary::{KNOWN_GOOD, KnownGood, fingerprint, targets_for},
+    state::TargetKey,
+};
+use proptest::prelude::*;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+proptest! {
+    #![proptest_config(crate::cases(1_000))]
+
+    /// Guards against entry hosts that send canaries of one request to different targets.
+    #[test]
+    fn targets_for_like_naive(
+        request in any::<u64>(),
+        names in prop::collection::btree_set("[a-f]{1,4}", 0..20),
+    ) {
+        let names: Vec<_> = names.into_iter().collect();
+        let list = || names.iter().enumerate().map(|(i, it)| (TargetKey(i as u32), it.as_str()));
+        let forward = targets_for(request, list());
+        let backward = targets_for(request, list().rev());
+        prop_assert_eq!(&forward, &backward);
+        let mut rest: Vec<_> = list().collect();
+        for key in forward {
+            let weigh = |it: &(TargetKey, &str)| xxh3_64_with_seed(it.1.as_bytes(), request);
+            let best = (0..rest.len()).max_by_key(|&i| weigh(&rest[i])).expect("one is left");
+            prop_assert_eq!(rest.swap_remove(best).0, key);
+        }
+        prop_assert!(rest.is_empty());
+    }
+}
+
+/// Guards against different requests with the same fingerprint.
+#[test]
+fn fingerprint_parts() {
+    assert_eq!(fingerprint("g", "k", "text"), fingerprint("g", "k", "text"));
+    assert_ne!(fingerprint("ab", "c", "d"), fingerprint("a", "bc", "d"));
+    assert_ne!(fingerprint("a", "b", "cd"), fingerprint("a", "bc", "d"));
+    assert_ne!(fingerprint("a", "b", ""), fingerprint("", "a", "b"));
+}
+
+/// Guards against one target that runs the canaries of all requests.
+#[test]
+fn targets_for_spread() {
+    let names: Vec<_> = (0..10).map(|it| format!("t{it}")).collect();
+    let mut counts = [0; 10];
+    for request in 0..5_000 {
+        let text = request.to_string();
+        let list = names.iter().enumerate().map(|(i, it)| (TargetKey(i as u32), it.as_str()));
+        counts[targets_for(fingerprint("g", "k", &text), list)[0].0 as usize] += 1;
+    }
+    assert!(counts.iter().all(|it| (400..600).contains(it)), "{counts:?}");
+}
+
+/// Guards against unlimited memory, and against eviction of requests that are in use.
+#[test]
+fn known_good_limit() {
+    let mut known = KnownGood::default();
+    for request in 0..=KNOWN_GOOD.get() as u64 {
+        known.insert(request);
+        assert!(known.contains(0));
+    }
+    assert!(!known.contains(1));
+    known.remove(0);
+    assert!(!known.contains(0));
+}
--- /dev/null
+++ b/tests/policy/pick.rs
@@ -0,0 +1,225 @@
+use std::time::{Duration, Instant};
+
+use gentianpass::{
+    policy::pick::{FAILURE_PENALTY, HINT_AGE, Loads, NEUTRAL_LOAD},
+    state::{Change, Config, Object, ObjectKind, Phase, Target, TargetKey, View},
+    wire::owner::Hint,
+};
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use crate::keys;
+
+const TARGETS: u32 = 6;
+
+/// Targets `t0` to `t5` in zones `z0`, `z1`, `z2` in turn; the ones in `drained` take no new work.
+fn view(drained: &[u32]) -> View {
+    let mut config = Config::default();
+    for i in 0..TARGETS {
+        let target = Target {
+            name: format!("t{i}"),
+            incarnation: 1,
+            addr: ([127, 0, 0, 1], 9_000).into(),
+            zone: format!("z{}", i % 3),
+            labels: Default::default(),
+            slots: 3,
+            warm_up: 1,
+            connections: 30,
+            phase: Phase::Serving,
+            holdings: Vec::new(),
+        };
+        config.apply(&Change::PutTarget(target), 0).expect("applied");
+    }
+    for i in drained {
+        let object = Object::new(ObjectKind::Target, format!("t{i}"));
+        let set = Change::SetLabel { object, key: "drain".into(), value: "true".into() };
+        config.apply(&set, 0).expect("applied");
+    }
+    View::build(&config)
+}
+
+fn hint(limit: u32, in_flight: u32, queued: u32) -> Hint {
+    Hint { target: String::new(), limit, in_flight, queued }
+}
+
+/// What the naive version keeps: everything that was reported, with its time in milliseconds.
+#[derive(Default)]
+struct Naive {
+    hints: Vec<(u64, u32, Hint)>,
+    failures: Vec<(u64, u32)>,
+    drained: Vec<u32>,
+}
+
+impl Naive {
+    fn load(&self, key: u32, now: u64) -> f32 {
+        let last = self.hints.iter().rev().find(|it| it.1 == key);
+        match last {
+            Some((at, _, hint)) if now < at + HINT_AGE.as_millis() as u64 => {
+                (hint.in_flight + hint.queued + 1) as f32 / hint.limit.max(1) as f32
+            }
+            _ => NEUTRAL_LOAD,
+        }
+    }
+
+    fn failed(&self, key: u32, now: u64) -> bool {
+        let penalty = FAILURE_PENALTY.as_millis() as u64;
+        self.failures.iter().any(|it| it.1 == key && now < it.0 + penalty)
+    }
+
+    /// The targets that may be chosen, and the random numbers of a choice.
+    fn pick(&self, replicas: &[u32], excluded: &[u32], now: u64, rng: &mut StdRng) -> Option<u32> {
+        let open: Vec<u32> = replicas
+            .iter()
+            .copied()
+            .filter(|it| !excluded.contains(it) && !self.drained.contains(it))
+            .collect();
+        let healthy: Vec<u32> = open.iter().copied().filter(|&it| !self.failed(it, now)).collect();
+        let candidates = if healthy.is_empty() { open } else { healthy };
+        if candidates.len() < 2 {
+            return candidates.first().copied();
+        }
+        let i = rng.random_range(0..candidates.len());
+        let j = (i + rng.random_range(1..candidates.len())) % candidates.len();
+        let (a, b) = (candidates[i], candidates[j]);
+        let (load_a, load_b) = (self.load(a, now), self.load(b, now));
+        let a_wins = load_a < load_b || (load_a == load_b && (a % 3 == 0 || b % 3 != 0));
+        Some(if a_wins { a } else { b })
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Wait(u64),
+    Hint(u32, u32, u32, u32),
+    Failed(u32),
+    Answered(u32),
+    Pick(Vec<u32>, Vec<u32>, u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let key = 0..TARGETS;
+    let some = prop::collection::vec(0..TARGETS, 0..3);
+    let replicas = prop::sample::subsequence((0..TARGETS).collect::<Vec<_>>(), 0..=6);
+    prop_oneof![
+        (0..1_200_u64).prop_map(Step::Wait),
+        (key.clone(), 0..4_u32, 0..4_u32, 0..3_u32).prop_map(|(a, b, c, d)| Step::Hint(a, b, c, d)),
+        key.clone().prop_map(Step::Failed),
+        key.prop_map(Step::Answered),
+        (replicas, some, any::<u64>()).prop_map(|(a, b, c)| Step::Pick(a, b, c)),
+    ]
+}
+
+proptest! {
+    #![proptest_config(crate::cases(1_000))]
+
+    /// Guards against a choice by outdated hints or expired penalties, and of drained or excluded targets.
+    #[test]
+    fn pick_like_naive(
+        steps in prop::collection::vec(step(), 1..60),
+        drained in prop::collection::vec(0..TARGETS, 0..3),
+    ) {
+        let start = Instant::now();
+        let mut loads = Loads::new(&view(&drained), "z0");
+        let mut naive = Naive { drained, ..Naive::default() };
+        let mut now = 0;
+        for step in steps {
+            let at = start + Duration::from_millis(now);
+            match step {
+                Step::Wait(ms) => now += ms,
+                Step::Hint(key, limit, in_flight, queued) => {
+                    let hint = hint(limit, in_flight, queued);
+                    loads.hint(TargetKey(key), &hint, at);
+                    naive.hints.push((now, key, hint));
+                }
+                Step::Failed(key) => {
+                    loads.failed(TargetKey(key), at);
+                    naive.failures.push((now, key));
+                }
+                Step::Answered(key) => {
+                    loads.answered(TargetKey(key));
+                    naive.failures.retain(|it| it.1 != key);
+                }
+                Step::Pick(replicas, excluded, seed) => {
+                    let [mut rng, mut same] = [StdRng::seed_from_u64(seed), StdRng::seed_from_u64(seed)];
+                    let found = loads.pick(&keys(&replicas), &keys(&excluded), at, &mut rng);
+                    let expected = naive.pick(&replicas, &excluded, now, &mut same);
+                    prop_assert_eq!(found, expected.map(TargetKey));
+                }
+            }
+        }
+    }
+}
+
+/// Guards against a lost shard although the only replica that is left may work again.
+#[test]
+fn pick_all_failed() {
+    let now = Instant::now();
+    let mut loads = Loads::new(&view(&[]), "z0");
+    loads.failed(TargetKey(1), now);
+    let mut rng = StdRng::seed_from_u64(1);
+    assert_eq!(loads.pick(&keys(&[1]), &[], now, &mut rng), Some(TargetKey(1)));
+    assert!(!loads.usable(TargetKey(1), now));
+    assert!(loads.usable(TargetKey(1), now + FAILURE_PENALTY));
+}
+
+/// Guards against most of the load on one of three equally loaded replicas of other zones.
+#[test]
+fn pick_spread() {
+    let now = Instant::now();
+    let loads = Loads::new(&view(&[]), "elsewhere");
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut counts = [0; 3];
+    for _ in 0..3_000 {
+        let key = loads.pick(&keys(&[0, 1, 2]), &[], now, &mut rng).expect("picked");
+        counts[key.0 as usize] += 1;
+    }
+    assert!(counts.iter().all(|it| (850..1_150).contains(it)), "{counts:?}");
+}
+
+/// Guards against hints that are lost, or land on another target, when a revision shifts the keys.
+#[test]
+fn rebuild_shifted_keys() {
+    let now = Instant::now();
+    let old = view(&[]);
+    let mut loads = Loads::new(&old, "z0");
+    loads.hint(TargetKey(3), &hint(2, 2, 4), now);
+    loads.failed(TargetKey(4), now);
+    let mut config = Config::default();
+    for (name, incarnation) in [("t3", 1), ("t4", 2)] {
+        let target = Target {
+            name: name.into(),
+            incarnation,
+            addr: ([127, 0, 0, 1], 9_000).into(),
+            zone: "z0".into(),
+            labels: Default::default(),
+            slots: 3,
+            warm_up: 1,
+            connections: 30,
+            phase: Phase::Serving,
+            holdings: Vec::new(),
+        };
+        config.apply(&Change::PutTarget(target), 0).expect("applied");
+    }
+    let new = View::build(&config);
+    let loads = loads.rebuild(&old, &new);
+    let key = new.target_key("t3").expect("key");
+    let service = Duration::from_millis(10);
+    assert_eq!(loads.wait(&[key], service, now), Duration::from_millis(20));
+    let restarted = new.target_key("t4").expect("key");
+    assert!(
+        loads.usable(restarted, now),
+        "a new process starts without the penalty of the old one"
+    );
+}
+
+/// Guards against rejections because of the longest queue while another replica is free.
+#[test]
+fn wait_shortest_queue() {
+    let now = Instant::now();
+    let mut loads = Loads::new(&view(&[]), "z0");
+    loads.hint(TargetKey(0), &hint(2, 2, 6), now);
+    loads.hint(TargetKey(1), &hint(2, 2, 2), now);
+    let service = Duration::from_millis(10);
+    assert_eq!(loads.wait(&keys(&[0, 1]), service, now), Duration::from_millis(10));
+    assert_eq!(loads.wait(&keys(&[0, 1]), service, now + HINT_AGE), Duration::ZERO);
+}
--- /dev/null
+++ b/tests/policy/pin.rs
@@ -0,0 +1,95 @@
+use gentianpass::{
+    policy::pin::{self, Pin},
+    state::{GroupView, TargetKey, VersionView},
+};
+use proptest::prelude::*;
+
+use crate::keys;
+
+fn group(versions: Vec<VersionView>) -> GroupView {
+    GroupView { name: "g".into(), index: "i".into(), versions }
+}
+
+fn version(number: u64, shards: &[&[u32]]) -> VersionView {
+    VersionView { number, retired: false, shards: shards.iter().map(|it| keys(it)).collect() }
+}
+
+fn naive(group: &GroupView, usable: &[bool]) -> Option<Pin> {
+    let mut pins = Vec::new();
+    for (index, version) in group.versions.iter().enumerate() {
+        let covers = |shard: &Vec<TargetKey>| shard.iter().any(|it| usable[it.0 as usize]);
+        let covered = version.shards.iter().filter(|it| covers(it)).count() as u32;
+        let total = version.shards.len() as u32;
+        if !version.retired && total > 0 {
+            pins.push(Pin { index, number: version.number, covered, total });
+        }
+    }
+    let complete = pins.iter().filter(|it| it.covered == it.total).max_by_key(|it| it.number);
+    let share = |it: &Pin| f64::from(it.covered) / f64::from(it.total);
+    let order = |a: &&Pin, b: &&Pin| share(a).total_cmp(&share(b)).then(a.number.cmp(&b.number));
+    complete.or_else(|| pins.iter().max_by(order)).copied()
+}
+
+fn any_group() -> impl Strategy<Value = GroupView> {
+    let shard = prop::collection::vec(0..12_u32, 0..4).prop_map(|it| keys(&it));
+    let version = (any::<bool>(), prop::collection::vec(shard, 0..6));
+    prop::collection::vec(version, 0..5).prop_map(|versions| {
+        let view = |(i, (retired, shards))| VersionView { number: 9 - i as u64, retired, shards };
+        group(versions.into_iter().enumerate().map(view).collect())
+    })
+}
+
+proptest! {
+    #![proptest_config(crate::cases(1_000))]
+
+    /// Guards against a version that is retired, older than necessary, or covers less than another.
+    #[test]
+    fn choose_like_naive(
+        group in any_group(),
+        usable in prop::collection::vec(any::<bool>(), 12),
+    ) {
+        let pin = pin::choose(&group, |it| usable[it.0 as usize]);
+        prop_assert_eq!(pin, naive(&group, &usable));
+    }
+
+    /// Guards against a restart on a version that covers no more than the pinned one.
+    #[test]
+    fn replacement_like_naive(
+        group in any_group(),
+        usable in prop::collection::vec(any::<bool>(), 12),
+        lost in 0..3_u32,
+    ) {
+        let Some(pinned) = naive(&group, &usable) else { return Ok(()) };
+        let reachable = pinned.covered.saturating_sub(lost);
+        let found = pin::replacement(&group, &pinned, reachable, |it| usable[it.0 as usize]);
+        let mut rest = group.clone();
+        rest.versions[pinned.index].retired = true;
+        let better = |it: &Pin| it.covered * pinned.total > reachable * it.total;
+        prop_assert_eq!(found, naive(&rest, &usable).filter(better));
+    }
+}
+
+/// Guards against a switch to a new version while a shard of it still has no replica.
+#[test]
+fn choose_new_version_incomplete() {
+    let group = group(vec![version(2, &[&[0], &[]]), version(1, &[&[1], &[2]])]);
+    let pin = pin::choose(&group, |_| true).expect("pin");
+    assert_eq!((pin.number, pin.covered, pin.total), (1, 2, 2));
+}
+
+/// Guards against a preference for versions that merely have more shards.
+#[test]
+fn choose_share_not_count() {
+    let half = version(2, &[&[0], &[1], &[2], &[], &[], &[]]);
+    let most = version(1, &[&[3], &[4], &[]]);
+    let pin = pin::choose(&group(vec![half, most]), |_| true).expect("pin");
+    assert_eq!((pin.number, pin.covered, pin.total), (1, 2, 3));
+}
+
+/// Guards against queries on a version that operators took out of use.
+#[test]
+fn choose_retired() {
+    let mut only = version(1, &[&[0]]);
+    only.retired = true;
+    assert_eq!(pin::choose(&group(vec![only]), |_| true), None);
+}
