Add a program that prints the cost of the root's decisions

Cause: the entry host may spend 25 us of CPU time for each sub-request, so the decisions' share must be known. Ruled out: a bench target, which needs an unstable harness or another dependency. Change: examples/policy_cost.rs, 860 shards with three replicas.

--- /dev/null
+++ b/examples/policy_cost.rs
@@ -0,0 +1,118 @@
+//! Prints the cost of the decisions of one query to 860 shards with three replicas each.
+//! Run with `cargo run --release --example policy_cost`.
+
+use std::{
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use gentianpass::{
+    policy::{
+        admit::Gate,
+        budget::{Budget, HEDGE_BURST},
+        canary, entries,
+        latency::Latency,
+        pick::Loads,
+        pin,
+    },
+    state::{Change, Config, Group, Holding, Match, Node, Phase, Target, View},
+    wire::owner::{Class, Hint},
+};
+use rand::{SeedableRng, rngs::SmallRng};
+
+const SHARDS: u32 = 860;
+const REPLICAS: u32 = 3;
+const NODES: u32 = 11;
+const ROUNDS: u32 = 2_000;
+
+fn main() {
+    let config = config();
+    let start = Instant::now();
+    let view = View::build(&config);
+    println!("view of {} targets: {:?}", SHARDS * REPLICAS, start.elapsed());
+    let now = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let group = view.group("g").expect("group");
+    let mut loads = Loads::new(&view, "z0");
+    for (key, target) in view.targets() {
+        let hint = Hint { target: target.name.clone(), limit: 3, in_flight: key.0 % 4, queued: 0 };
+        loads.hint(key, &hint, now);
+    }
+    let shards = &group.versions[0].shards;
+    report("pin, 860 shards", || pin::choose(group, |it| loads.usable(it, now)));
+    report("pick, 860 shards", || {
+        shards.iter().filter_map(|it| loads.pick(it, &[], now, &mut rng)).count()
+    });
+    let service = Duration::from_millis(4);
+    report("wait, 860 shards", || shards.iter().map(|it| loads.wait(it, service, now)).max());
+    let mut latency = Latency::new(now);
+    let mut us = 0;
+    report("latency record and p95, 860 samples", || {
+        for _ in 0..SHARDS {
+            us = (us * 31 + 17) % 20_000;
+            latency.record(Duration::from_micros(us), now);
+            black_box(latency.p95(now));
+        }
+    });
+    let mut budget = Budget::new(3, HEDGE_BURST);
+    report("budget earn and spend", || {
+        budget.earn(SHARDS.into());
+        budget.try_spend(1)
+    });
+    let gate = Gate::new(256);
+    report("admit and release", || gate.admit(Class::Quick, service, service * 10).is_ok());
+    report("fingerprint", || canary::fingerprint("g", "label-search", "Morag Sutherland"));
+    let mut known = canary::KnownGood::default();
+    known.insert(1);
+    report("known good", || known.contains(1));
+    report("canary order, 2,580 targets", || {
+        canary::targets_for(1, view.targets().map(|(key, it)| (key, it.name.as_str())))
+    });
+    report("entries, 11 hosts", || entries::addresses("janitor", view.nodes().map(|(_, it)| it)));
+}
+
+fn report<T>(name: &str, mut decide: impl FnMut() -> T) {
+    let start = Instant::now();
+    for _ in 0..ROUNDS {
+        black_box(decide());
+    }
+    println!("{name}: {:?}", start.elapsed() / ROUNDS);
+}
+
+fn config() -> Config {
+    let mut config = Config::default();
+    let addr = ([127, 0, 0, 1], 9_000).into();
+    let mut apply = |change| config.apply(&change, 0).expect("applied");
+    apply(Change::PutGroup(Group {
+        name: "g".into(),
+        index: "i".into(),
+        targets: Match::default(),
+    }));
+    for i in 0..NODES {
+        apply(Change::PutNode(Node {
+            name: format!("n{i}"),
+            incarnation: 1,
+            http: addr,
+            rpc: addr,
+            zone: format!("z{}", i % REPLICAS),
+            leaving: false,
+        }));
+    }
+    for i in 0..SHARDS * REPLICAS {
+        let holding =
+            Holding { index: "i".into(), version: 1, shard: i / REPLICAS, shards: SHARDS };
+        apply(Change::PutTarget(Target {
+            name: format!("t{i}"),
+            incarnation: 1,
+            addr,
+            zone: format!("z{}", i % REPLICAS),
+            labels: Default::default(),
+            slots: 3,
+            warm_up: 1,
+            connections: 30,
+            phase: Phase::Serving,
+            holdings: vec![holding],
+        }));
+    }
+    config
+}
