Index ownership candidates by availability zone

Cause: building the routing view hashed every target with every entry host. Ruled out: caching owners across revisions, because a view would then depend on the previous one.

--- a/src/state/view.rs
+++ b/src/state/view.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     error::{Error, Kind},
-    policy::ownership,
+    policy::ownership::Candidates,
     state::{Config, Group, Labels, ObjectKind, Phase, Revision, Selector},
     wire::owner::Class,
 };
@@ -202,9 +202,10 @@
     }
 
     fn add_targets(&mut self, config: &Config) {
+        let candidates = Candidates::new(&self.nodes);
         for target in config.targets.values() {
             let drained = drained(config, ObjectKind::Target, &target.name, &target.zone);
-            let owner = ownership::owner(&target.name, &target.zone, &self.nodes);
+            let owner = candidates.owner(&target.name, &target.zone);
             self.target_keys.insert(target.name.clone(), TargetKey(self.targets.len() as u32));
             self.targets.push(TargetView {
                 name: target.name.clone(),
