Add a control host that serves tables from memory

The control process answers poll and submit over tarpc and the operators' HTTP API, so that entry hosts and tools can be built against it. Nothing is replicated or durable yet: one process holds the tables in memory and forgets them on exit. Ruled out: a stub in the tests, because each user would write another one.

--- /dev/null
+++ b/src/control/http.rs
@@ -0,0 +1,225 @@
+//! The operators' HTTP API of a control host.
+
+use std::{collections::BTreeSet, hint::black_box, io, net::SocketAddr, sync::Arc};
+
+use axum::{
+    Json, Router,
+    body::Bytes,
+    extract::{DefaultBodyLimit, FromRequest, Query, Request, State},
+    http::{HeaderMap, StatusCode, header::AUTHORIZATION},
+    middleware::{self, Next},
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use tokio::net::TcpListener;
+use uuid::Uuid;
+
+use crate::{
+    control::host::Host,
+    error::{Error, Kind},
+    event,
+    state::{Change, Config, Labels, Object, Reply},
+    wire::{
+        MAX_BODY_BYTES,
+        caller::Failure,
+        control::Submit,
+        operator::{
+            self, ChangeAnswer, ChangeRequest, Edit, Member, ObjectLabels, SuspectState,
+            VersionState,
+        },
+    },
+};
+
+/// Serves operators until it is dropped.
+pub async fn serve(host: Arc<Host>, listen: SocketAddr) -> io::Result<()> {
+    let listener = TcpListener::bind(listen).await?;
+    axum::serve(listener, router(host)).await
+}
+
+fn router(host: Arc<Host>) -> Router {
+    let operators = Router::new()
+        .route("/v1/state", get(state))
+        .route("/v1/changes", post(change))
+        .route("/v1/events", get(events))
+        .layer(middleware::from_fn_with_state(host.clone(), authorize))
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES));
+    Router::new()
+        .route("/metrics", get(metrics))
+        .route("/healthz", get(healthz))
+        .merge(operators)
+        .fallback(async || Refusal(Error::new(Kind::NotFound, "there is no such path")))
+        .with_state(host)
+}
+
+/// An error as the answer to an operator.
+struct Refusal(Error);
+
+impl IntoResponse for Refusal {
+    fn into_response(self) -> Response {
+        let Error { kind, message } = self.0;
+        let body = Failure { request_id: None, error: kind, outcome: kind.outcome(), message };
+        (status(kind), Json(body)).into_response()
+    }
+}
+
+impl From<Error> for Refusal {
+    fn from(err: Error) -> Self {
+        Self(err)
+    }
+}
+
+async fn authorize(
+    State(host): State<Arc<Host>>,
+    headers: HeaderMap,
+    request: Request,
+    next: Next,
+) -> Response {
+    let sent = headers.get(AUTHORIZATION).map_or(&b""[..], |it| it.as_bytes());
+    let token = sent.strip_prefix(b"Bearer ").unwrap_or_default();
+    if !same_token(token, host.cfg.operator_token.as_bytes()) {
+        let err = Error::new(Kind::Unauthorized, "the bearer token is missing or wrong");
+        return Refusal(err).into_response();
+    }
+    next.run(request).await
+}
+
+/// Compares in a time that depends on the lengths alone.
+fn same_token(sent: &[u8], expected: &[u8]) -> bool {
+    let different = sent.iter().zip(expected).fold(0, |acc, (a, b)| black_box(acc | (a ^ b)));
+    sent.len() == expected.len() && different == 0
+}
+
+async fn state(State(host): State<Arc<Host>>) -> Result<Json<operator::State>, Refusal> {
+    let members = members(&host);
+    Ok(Json(host.read(|tables| operator_state(&tables.config, members))))
+}
+
+async fn change(
+    State(host): State<Arc<Host>>,
+    request: Request,
+) -> Result<(StatusCode, Json<ChangeAnswer>), Refusal> {
+    let body = Bytes::from_request(request, &()).await.map_err(|err| {
+        let too_large = err.status() == StatusCode::PAYLOAD_TOO_LARGE;
+        let kind = if too_large { Kind::TooLarge } else { Kind::BadRequest };
+        Error::new(kind, err.body_text())
+    })?;
+    let bad_request = |err: String| Error::new(Kind::BadRequest, err);
+    let request: ChangeRequest =
+        serde_json::from_slice(&body).map_err(|err| bad_request(err.to_string()))?;
+    let id = Uuid::parse_str(&request.id)
+        .map_err(|err| bad_request(format!("id {:?} is not a UUID: {err}", request.id)))?;
+    let submit =
+        Submit { id: id.as_u128(), base: Some(request.base), change: into_change(request.edit) };
+    let reply = host.submit(submit).await?;
+    Ok(answer(&host, reply))
+}
+
+fn answer(host: &Host, reply: Reply) -> (StatusCode, Json<ChangeAnswer>) {
+    let (revision, current) = host.read(|it| (it.config.revision, it.config.operator_revision));
+    let refused = |operator_revision, err: Error| {
+        let Error { kind, message } = err;
+        let answer = ChangeAnswer { revision, operator_revision, error: Some(kind), message };
+        (status(kind), Json(answer))
+    };
+    match reply {
+        Reply::Applied { revision } => {
+            // A later change must not enter the answer, else the next change would overwrite it unseen.
+            let operator_revision = current.min(revision);
+            let message = String::new();
+            (
+                StatusCode::OK,
+                Json(ChangeAnswer { revision, operator_revision, error: None, message }),
+            )
+        }
+        Reply::Conflict { current } => {
+            let message = format!("the operator revision is {current}");
+            refused(current, Error::new(Kind::Conflict, message))
+        }
+        Reply::Rejected(err) => refused(current, err),
+        Reply::Granted | Reply::Claimed { .. } => refused(current, Kind::Internal.into()),
+    }
+}
+
+async fn events(
+    State(host): State<Arc<Host>>,
+    filter: Result<Query<event::Filter>, axum::extract::rejection::QueryRejection>,
+) -> Result<Json<Vec<event::Event>>, Refusal> {
+    let Query(filter) = filter.map_err(|err| Error::new(Kind::BadRequest, err.body_text()))?;
+    Ok(Json(host.events.find(&filter)))
+}
+
+async fn metrics(State(host): State<Arc<Host>>) -> String {
+    host.metrics.render()
+}
+
+async fn healthz() -> &'static str {
+    "ok\n"
+}
+
+fn status(kind: Kind) -> StatusCode {
+    StatusCode::from_u16(kind.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+fn into_change(edit: Edit) -> Change {
+    match edit {
+        Edit::SetLabel { object, key, value } => Change::SetLabel { object, key, value },
+        Edit::RemoveLabel { object, key } => Change::RemoveLabel { object, key },
+        Edit::PutGroup(group) => Change::PutGroup(group),
+        Edit::RemoveGroup { name } => Change::RemoveGroup { name },
+        Edit::PutSelector(selector) => Change::PutSelector(selector),
+        Edit::RemoveSelector { name } => Change::RemoveSelector { name },
+    }
+}
+
+fn members(host: &Host) -> Vec<Member> {
+    vec![Member {
+        id: Uuid::nil().to_string(),
+        name: host.cfg.name.clone(),
+        zone: host.cfg.zone.clone(),
+        rpc: host.cfg.listen_rpc,
+        role: "leader".into(),
+    }]
+}
+
+fn operator_state(config: &Config, members: Vec<Member>) -> operator::State {
+    let labels = |(object, labels): (&Object, &Labels)| ObjectLabels {
+        object: object.clone(),
+        labels: labels.clone(),
+    };
+    operator::State {
+        revision: config.revision,
+        operator_revision: config.operator_revision,
+        labels: config.labels.iter().map(labels).collect(),
+        groups: config.groups.values().cloned().collect(),
+        selectors: config.selectors.values().cloned().collect(),
+        nodes: config.nodes.values().cloned().collect(),
+        targets: config.targets.values().cloned().collect(),
+        versions: version_states(config),
+        suspects: suspect_states(config),
+        members,
+    }
+}
+
+fn version_states(config: &Config) -> Vec<VersionState> {
+    let holdings = config.targets.values().flat_map(|it| &it.holdings);
+    let held: BTreeSet<_> = holdings.map(|it| (it.index.as_str(), it.version, it.shard)).collect();
+    let state = |(index, version): &(String, u64), shards: u32| VersionState {
+        index: index.clone(),
+        version: *version,
+        shards,
+        held: held
+            .range((index.as_str(), *version, 0)..=(index.as_str(), *version, u32::MAX))
+            .count() as u32,
+    };
+    config.versions.iter().map(|(key, it)| state(key, it.shards)).collect()
+}
+
+fn suspect_states(config: &Config) -> Vec<SuspectState> {
+    let state = |(fingerprint, it): (&u64, &crate::state::Suspect)| SuspectState {
+        fingerprint: *fingerprint,
+        targets: it.targets.iter().cloned().collect(),
+        quarantined: config.quarantined(*fingerprint),
+        until_ms: it.until_ms,
+    };
+    config.suspects.iter().map(state).collect()
+}
--- /dev/null
+++ b/src/control/rpc.rs
@@ -0,0 +1,82 @@
+//! The RPC listener of a control host.
+
+use std::{io, net::SocketAddr, pin::pin, sync::Arc};
+
+use futures::StreamExt;
+use tarpc::{
+    context::Context,
+    serde_transport::{Transport, tcp},
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+};
+use tokio::{net::TcpStream, task::JoinSet};
+
+use crate::{
+    control::host::Host,
+    error::Result,
+    event::{Event, Kind},
+    state::Reply,
+    wire::{
+        MAX_FRAME_BYTES,
+        control::{Poll, Service, ServiceRequest, ServiceResponse, Submit, Update},
+    },
+};
+
+type Codec = Bincode<tarpc::ClientMessage<ServiceRequest>, tarpc::Response<ServiceResponse>>;
+
+type Peer = Transport<
+    TcpStream,
+    tarpc::ClientMessage<ServiceRequest>,
+    tarpc::Response<ServiceResponse>,
+    Codec,
+>;
+
+#[derive(Clone)]
+struct Server {
+    host: Arc<Host>,
+}
+
+impl Service for Server {
+    async fn poll(self, _: Context, poll: Poll) -> Result<Update> {
+        self.host.poll(poll).await
+    }
+
+    async fn submit(self, _: Context, submit: Submit) -> Result<Reply> {
+        self.host.submit(submit).await
+    }
+}
+
+/// Accepts connections until it is dropped, which also ends their requests.
+pub async fn serve(host: Arc<Host>, listen: SocketAddr) -> io::Result<()> {
+    let mut incoming = tcp::listen(listen, Codec::default).await?;
+    incoming.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    let mut connections = JoinSet::new();
+    while let Some(accepted) = incoming.next().await {
+        match accepted {
+            Ok(peer) => drop(connections.spawn(serve_peer(host.clone(), peer))),
+            Err(err) => log::warn!("event=accept_failed cause={:?}", err.to_string()),
+        }
+        while connections.try_join_next().is_some() {}
+    }
+    Ok(())
+}
+
+async fn serve_peer(host: Arc<Host>, peer: Peer) {
+    let addr = peer.peer_addr();
+    let server = Server { host: host.clone() };
+    let mut requests = pin!(BaseChannel::with_defaults(peer).requests());
+    let mut running = JoinSet::new();
+    while let Some(request) = requests.next().await {
+        match request {
+            Ok(request) => drop(running.spawn(request.execute(server.clone().serve()))),
+            Err(err) => {
+                let cause = std::error::Error::source(&err).map(ToString::to_string);
+                let addr = addr.map_or_else(|_| "?".into(), |it| it.to_string());
+                let cause = format!("peer {addr}: {err}: {}", cause.unwrap_or_default());
+                host.events.record(Event::new(Kind::PeerRejected, cause));
+                return;
+            }
+        }
+        while running.try_join_next().is_some() {}
+    }
+}
