--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod event;
 pub mod lease;
 pub mod metric;
+pub mod owner;
+pub mod peer;
 pub mod policy;
 pub mod settings;
 pub mod state;
--- /dev/null
+++ b/src/policy/limit.rs
@@ -0,0 +1,1 @@
+//! How many requests the owner runs at a target at once.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,3 +1,4 @@
 //! Decisions without sockets and clocks: time is passed in.
 
+pub mod limit;
 pub mod ownership;
