Show suspects in the routing view and how long a lease has been expired

Cause: the owner must not send a suspected request to the target that it crashed, also when the crash was seen by the previous owner; and after a long lapse another host may have owned its targets in between. Change: View::suspected and Lease::expired_for, both additive.

--- a/src/lease.rs
+++ b/src/lease.rs
@@ -34,6 +34,12 @@
         expires.map_or(Duration::ZERO, |it| it.saturating_duration_since(now))
     }
 
+    /// How long the lease has been expired at `now`; `None` if it was never held, zero while it is held.
+    pub fn expired_for(&self, now: Instant) -> Option<Duration> {
+        let expires = *self.expires.lock();
+        expires.map(|it| now.saturating_duration_since(it))
+    }
+
     /// Fails with [`Kind::NoLease`] unless the lease is held at this moment.
     pub fn check(&self) -> Result<(), Kind> {
         if self.left(Instant::now()).is_zero() { Err(Kind::NoLease) } else { Ok(()) }
--- a/src/state/view.rs
+++ b/src/state/view.rs
@@ -1,7 +1,7 @@
 //! The routing view of one revision: arenas with small keys, built once per revision and then shared.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
 };
 
@@ -95,6 +95,7 @@
     callers: HashMap<String, Labels>,
     kinds: HashMap<String, Labels>,
     quarantine: Vec<u64>,
+    suspects: HashMap<u64, BTreeSet<String>>,
 }
 
 impl View {
@@ -111,6 +112,11 @@
                 .copied()
                 .filter(|&it| config.quarantined(it))
                 .collect(),
+            suspects: config
+                .suspects
+                .iter()
+                .map(|(fingerprint, it)| (*fingerprint, it.targets.clone()))
+                .collect(),
             ..Self::default()
         };
         view.add_nodes(config);
@@ -183,6 +189,11 @@
         self.quarantine.binary_search(&fingerprint).is_ok()
     }
 
+    /// Whether the target crashed while it ran a request with this fingerprint.
+    pub fn suspected(&self, fingerprint: u64, target: &str) -> bool {
+        self.suspects.get(&fingerprint).is_some_and(|it| it.contains(target))
+    }
+
     fn kind_label(&self, kind: &str, key: &str) -> Option<&str> {
         self.kinds.get(kind)?.get(key).map(String::as_str)
     }
