--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,6 +6,7 @@
 pub mod entries;
 pub mod hedge;
 pub mod latency;
+pub mod limit;
 pub mod ownership;
 pub mod pick;
 pub mod pin;
