Build the operators' view of the state next to its type

Cause: control hosts and tests of the operators' command need the same conversions. Ruled out: a copy in each of them, which would differ sooner or later. Change: From<Edit> for Change and State::new in wire::operator; src/control/http.rs still has its own copies. Conclusion: the control host can drop into_change, operator_state, version_states and suspect_states.

--- a/src/wire/operator.rs
+++ b/src/wire/operator.rs
@@ -1,12 +1,12 @@
 //! JSON bodies between operators' tools and control hosts.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     error::Kind,
-    state::{Group, Labels, Node, Object, Revision, Selector, Target},
+    state::{Change, Config, Group, Labels, Node, Object, Revision, Selector, Suspect, Target},
 };
 
 /// A change that operators make.
@@ -45,6 +45,19 @@
     },
 }
 
+impl From<Edit> for Change {
+    fn from(edit: Edit) -> Self {
+        match edit {
+            Edit::SetLabel { object, key, value } => Self::SetLabel { object, key, value },
+            Edit::RemoveLabel { object, key } => Self::RemoveLabel { object, key },
+            Edit::PutGroup(group) => Self::PutGroup(group),
+            Edit::RemoveGroup { name } => Self::RemoveGroup { name },
+            Edit::PutSelector(selector) => Self::PutSelector(selector),
+            Edit::RemoveSelector { name } => Self::RemoveSelector { name },
+        }
+    }
+}
+
 /// Body of `POST /v1/changes`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -95,6 +108,47 @@
     pub members: Vec<Member>,
 }
 
+impl State {
+    /// The state of this configuration and these control hosts.
+    pub fn new(config: &Config, members: Vec<Member>) -> Self {
+        let labels = config.labels.iter();
+        Self {
+            revision: config.revision,
+            operator_revision: config.operator_revision,
+            labels: labels
+                .map(|(object, it)| ObjectLabels { object: object.clone(), labels: it.clone() })
+                .collect(),
+            groups: config.groups.values().cloned().collect(),
+            selectors: config.selectors.values().cloned().collect(),
+            nodes: config.nodes.values().cloned().collect(),
+            targets: config.targets.values().cloned().collect(),
+            versions: version_states(config),
+            suspects: suspect_states(config),
+            members,
+        }
+    }
+}
+
+fn version_states(config: &Config) -> Vec<VersionState> {
+    let holdings = config.targets.values().flat_map(|it| &it.holdings);
+    let held: BTreeSet<_> = holdings.map(|it| (it.index.as_str(), it.version, it.shard)).collect();
+    let state = |index: &str, version, shards| {
+        let shards_held = held.range((index, version, 0)..=(index, version, u32::MAX));
+        VersionState { index: index.to_owned(), version, shards, held: shards_held.count() as u32 }
+    };
+    config.versions.iter().map(|((index, version), it)| state(index, *version, it.shards)).collect()
+}
+
+fn suspect_states(config: &Config) -> Vec<SuspectState> {
+    let state = |(&fingerprint, it): (&u64, &Suspect)| SuspectState {
+        fingerprint,
+        targets: it.targets.iter().cloned().collect(),
+        quarantined: config.quarantined(fingerprint),
+        until_ms: it.until_ms,
+    };
+    config.suspects.iter().map(state).collect()
+}
+
 /// The labels of one object.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ObjectLabels {
