Add the operators' command

Cause: operators control the system through labels and selectors and need to see the effect before they apply a change.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! Query tier over many shards: routing, limits, snapshots of the index and true coverage.
 
+pub mod cmd;
 pub mod control;
 pub mod error;
 pub mod event;
--- /dev/null
+++ b/tests/cmd/main.rs
@@ -0,0 +1,41 @@
+//! The operators' command against stand-ins for control hosts and entry hosts.
+
+mod change;
+mod explain;
+mod fake;
+mod group;
+mod label;
+mod process;
+mod selector;
+mod status;
+mod zone;
+
+use std::io::Write;
+
+use clap::Parser;
+use expect_test::Expect;
+use gentianpass::cmd;
+use tempfile::NamedTempFile;
+
+use crate::fake::{Fake, TOKEN};
+
+/// Runs the command with these arguments and returns what it printed, followed by its error.
+async fn run(fake: &Fake, args: &str) -> String {
+    let mut token = NamedTempFile::new().expect("file");
+    writeln!(token, "{TOKEN}").expect("written");
+    let control = fake.control.to_string();
+    let file = token.path().to_str().expect("path");
+    let global = ["gentianpass", "--control", &control, "--token-file", file];
+    let args = cmd::Args::parse_from(global.into_iter().chain(args.split_whitespace()));
+    let mut out = Vec::new();
+    let result = cmd::run(args, &mut out).await;
+    let mut out = String::from_utf8(out).expect("text");
+    if let Err(err) = result {
+        out.push_str(&format!("error: {err:#}\n"));
+    }
+    fake.fixed_ports(out)
+}
+
+async fn check(fake: &Fake, args: &str, expected: Expect) {
+    expected.assert_eq(&run(fake, args).await);
+}
