--- a/tests/policy/pick.rs
+++ b/tests/policy/pick.rs
@@ -12,13 +12,14 @@
 
 const TARGETS: u32 = 6;
 
-/// Targets `t0` to `t5` in zones `z0`, `z1`, `z2` in turn; the ones in `drained` take no new work.
-fn view(drained: &[u32]) -> View {
+/// A view of these targets, by name and process, in the zones `z0`, `z1`, `z2` in turn. The ones in `drained` take no
+/// new work.
+fn view(targets: &[(&str, u64)], drained: &[u32]) -> View {
     let mut config = Config::default();
-    for i in 0..TARGETS {
+    for (i, (name, incarnation)) in targets.iter().enumerate() {
         let target = Target {
-            name: format!("t{i}"),
-            incarnation: 1,
+            name: (*name).into(),
+            incarnation: *incarnation,
             addr: ([127, 0, 0, 1], 9_000).into(),
             zone: format!("z{}", i % 3),
             labels: Default::default(),
@@ -38,6 +39,11 @@
     View::build(&config)
 }
 
+/// Six targets, `t0` to `t5`.
+fn six(drained: &[u32]) -> View {
+    view(&[("t0", 1), ("t1", 1), ("t2", 1), ("t3", 1), ("t4", 1), ("t5", 1)], drained)
+}
+
 fn hint(limit: u32, in_flight: u32, queued: u32) -> Hint {
     Hint { target: String::new(), limit, in_flight, queued }
 }
@@ -119,7 +125,7 @@
         drained in prop::collection::vec(0..TARGETS, 0..3),
     ) {
         let start = Instant::now();
-        let mut loads = Loads::new(&view(&drained), "z0");
+        let mut loads = Loads::new(&six(&drained), "z0");
         let mut naive = Naive { drained, ..Naive::default() };
         let mut now = 0;
         for step in steps {
@@ -154,7 +160,7 @@
 #[test]
 fn pick_all_failed() {
     let now = Instant::now();
-    let mut loads = Loads::new(&view(&[]), "z0");
+    let mut loads = Loads::new(&six(&[]), "z0");
     loads.failed(TargetKey(1), now);
     let mut rng = StdRng::seed_from_u64(1);
     assert_eq!(loads.pick(&keys(&[1]), &[], now, &mut rng), Some(TargetKey(1)));
@@ -166,7 +172,7 @@
 #[test]
 fn pick_spread() {
     let now = Instant::now();
-    let loads = Loads::new(&view(&[]), "elsewhere");
+    let loads = Loads::new(&six(&[]), "elsewhere");
     let mut rng = StdRng::seed_from_u64(1);
     let mut counts = [0; 3];
     for _ in 0..3_000 {
@@ -180,27 +186,11 @@
 #[test]
 fn rebuild_shifted_keys() {
     let now = Instant::now();
-    let old = view(&[]);
+    let old = six(&[]);
     let mut loads = Loads::new(&old, "z0");
     loads.hint(TargetKey(3), &hint(2, 2, 4), now);
     loads.failed(TargetKey(4), now);
-    let mut config = Config::default();
-    for (name, incarnation) in [("t3", 1), ("t4", 2)] {
-        let target = Target {
-            name: name.into(),
-            incarnation,
-            addr: ([127, 0, 0, 1], 9_000).into(),
-            zone: "z0".into(),
-            labels: Default::default(),
-            slots: 3,
-            warm_up: 1,
-            connections: 30,
-            phase: Phase::Serving,
-            holdings: Vec::new(),
-        };
-        config.apply(&Change::PutTarget(target), 0).expect("applied");
-    }
-    let new = View::build(&config);
+    let new = view(&[("t3", 1), ("t4", 2)], &[]);
     let loads = loads.rebuild(&old, &new);
     let key = new.target_key("t3").expect("key");
     let service = Duration::from_millis(10);
@@ -216,7 +206,7 @@
 #[test]
 fn wait_shortest_queue() {
     let now = Instant::now();
-    let mut loads = Loads::new(&view(&[]), "z0");
+    let mut loads = Loads::new(&six(&[]), "z0");
     loads.hint(TargetKey(0), &hint(2, 2, 6), now);
     loads.hint(TargetKey(1), &hint(2, 2, 2), now);
     let service = Duration::from_millis(10);
