Add the owner side: queues, limits, connections, canary gate, hand-over and service

Change: one task per connection takes jobs from the target's queue, so that no request needs a task of its own; the check before the send and the slot are taken under one lock.

--- /dev/null
+++ b/src/owner/guard.rs
@@ -0,0 +1,78 @@
+//! Guards that release a slot or a connection of a target when they are dropped.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::{error::Kind, owner::target::Target};
+
+/// The pause after a failed attempt to connect.
+const CONNECT_PAUSE: Duration = Duration::from_millis(100);
+
+/// A slot of a target; dropping it lets the next job start.
+pub(super) struct Slot {
+    pub target: Arc<Target>,
+    pub pump: bool,
+}
+
+impl Slot {
+    /// Releases the slot on a connection that looks for the next job itself.
+    pub fn release(mut self) {
+        self.pump = false;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut state = self.target.state.lock();
+        state.in_flight -= 1;
+        if state.in_flight == 0 {
+            self.target.drained.notify_waiters();
+        }
+        if self.pump {
+            self.target.pump(&mut state);
+        }
+    }
+}
+
+/// Counts a connection against the connection limit, from the attempt to connect to its end.
+pub(super) struct Open {
+    pub target: Arc<Target>,
+    pub connecting: bool,
+}
+
+impl Open {
+    /// The attempt to connect has succeeded.
+    pub fn connected(&mut self) {
+        if std::mem::take(&mut self.connecting) {
+            self.target.state.lock().connecting -= 1;
+        }
+    }
+
+    /// The attempt to connect has failed: without another connection nothing that waits can start.
+    pub fn refused(&mut self) {
+        let mut state = self.target.state.lock();
+        state.retry_at = Instant::now() + CONNECT_PAUSE;
+        if state.open > state.connecting {
+            return;
+        }
+        let waiting: Vec<_> = state.queues.iter_mut().flat_map(|it| it.drain(..)).collect();
+        state.cancels.clear();
+        drop(state);
+        for job in waiting {
+            self.target.reject(job, Kind::NoTarget);
+        }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        let mut state = self.target.state.lock();
+        state.open -= 1;
+        if self.connecting {
+            state.connecting -= 1;
+        }
+        self.target.pump(&mut state);
+    }
+}
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -1,9 +1,36 @@
 //! Owned targets: everything between a batch and its targets.
 
-use std::{sync::Arc, time::Duration};
+mod batch;
+mod canary;
+mod conn;
+mod exchange;
+mod guard;
+mod handover;
+mod link;
+mod server;
+mod shared;
+mod state;
+mod target;
+mod upkeep;
 
-use tokio::net::TcpListener;
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use parking_lot::{Mutex, RwLock};
+use rand::random;
 
+use self::{
+    batch::{Batch, Job, Run, Work},
+    canary::{Canaries, Turn},
+    shared::{Meter, Shared},
+    target::Target,
+};
 use crate::{
     control,
     error::{Error, Kind, Outcome, Result},
@@ -15,81 +42,241 @@
     state::View,
     wire::{
         operator::OwnedTarget,
-        owner::{Batch, BatchId, Dispatch, Dispatched, Finished, Progress, Release},
-        target::Announcement,
+        owner::{self as message, BatchId, Class, Dispatch, Dispatched, Progress},
     },
 };
 
+/// How many batches run here at once. This bounds memory; the limits of targets bound the load.
+const MAX_BATCHES: usize = 16_384;
+
 /// The owner side of an entry host.
-pub struct Owner {}
+pub struct Owner {
+    name: String,
+    incarnation: u64,
+    lease_duration: Duration,
+    node_expiry: Duration,
+    shared: Arc<Shared>,
+    peers: Arc<Peers>,
+    stopping: AtomicBool,
+    targets: RwLock<HashMap<String, Arc<Target>>>,
+    /// Targets that are handed over to another owner, until their requests have ended.
+    leaving: Mutex<HashMap<String, Arc<Target>>>,
+    batches: Mutex<HashMap<BatchId, Arc<Batch>>>,
+}
 
 impl Owner {
     /// Makes an owner that owns nothing yet.
     pub fn new(
-        _cfg: &settings::Entry,
-        _incarnation: u64,
-        _control: Arc<control::Client>,
-        _lease: Arc<Lease>,
-        _peers: Arc<Peers>,
-        _events: Arc<event::Ring>,
-        _metrics: &metric::Registry,
+        cfg: &settings::Entry,
+        incarnation: u64,
+        control: Arc<control::Client>,
+        lease: Arc<Lease>,
+        peers: Arc<Peers>,
+        events: Arc<event::Ring>,
+        metrics: &metric::Registry,
     ) -> Arc<Self> {
-        Arc::new(Self {})
+        let shared = Shared {
+            lease,
+            control,
+            events,
+            meter: Meter::new(metrics),
+            canaries: Canaries::default(),
+            view: RwLock::new(None),
+            silence: Duration::from_millis(cfg.silence_ms),
+            max_sub_request: Duration::from_millis(cfg.max_sub_request_ms),
+            ids: AtomicU64::new(random()),
+        };
+        let owner = Arc::new(Self {
+            name: cfg.name.clone(),
+            incarnation,
+            lease_duration: Duration::from_millis(cfg.lease_ms),
+            node_expiry: Duration::from_millis(cfg.node_expiry_ms),
+            shared: Arc::new(shared),
+            peers,
+            stopping: AtomicBool::new(false),
+            targets: RwLock::default(),
+            leaving: Mutex::default(),
+            batches: Mutex::default(),
+        });
+        tokio::spawn(upkeep::run(Arc::downgrade(&owner)));
+        owner
     }
 
-    /// Puts a new revision in force: targets that are gained, lost or changed.
-    pub fn apply(self: &Arc<Self>, _view: &Arc<View>) {}
-
-    /// Runs a batch; answers when all is finished or after `partial_after_ms`.
-    pub async fn exec(self: &Arc<Self>, batch: Batch) -> Result<Progress> {
-        let result = Err(Kind::NotOwner);
-        let finished = batch.items.into_iter().map(|it| Finished {
-            shard: it.shard,
-            target: it.target,
-            result: result.clone(),
-            elapsed_us: 0,
-        });
-        Ok(Progress { finished: finished.collect(), ..Progress::default() })
+    /// Runs a batch; answers when all is finished or after `partial_after_ms`. If the future is dropped before, the
+    /// batch is cancelled, also at its targets.
+    pub async fn exec(self: &Arc<Self>, batch: message::Batch) -> Result<Progress> {
+        self.accept(batch.fingerprint)?;
+        let now = Instant::now();
+        let id = batch.id;
+        let partial_end = now + Duration::from_millis(batch.partial_after_ms);
+        let batch = Arc::new(Batch::new(batch, now));
+        self.register(id, &batch)?;
+        let mut guard = CancelOnDrop { owner: self, batch: Some(&batch) };
+        if batch.batch.canary {
+            tokio::spawn(self.clone().run_canaries(batch.clone()));
+        } else {
+            self.start(&batch);
+        }
+        let done = batch.all(partial_end).await;
+        guard.batch = None;
+        if done {
+            self.forget(id);
+        }
+        Ok(batch.take())
     }
 
-    /// Waits until something more of a batch is finished.
-    pub async fn collect(&self, _id: BatchId, _wait: Duration) -> Result<Progress> {
-        Err(Error::new(Kind::NotFound, "no such batch"))
+    /// Waits until something more of a batch is finished, at most `wait`. A batch is forgotten once all of it was
+    /// returned, and some time after its deadline.
+    pub async fn collect(&self, id: BatchId, wait: Duration) -> Result<Progress> {
+        let batch = self.batches.lock().get(&id).cloned();
+        let Some(batch) = batch else {
+            return Err(Error::new(Kind::NotFound, format!("there is no batch {id}")));
+        };
+        if batch.any(Instant::now() + wait).await {
+            self.forget(id);
+        }
+        Ok(batch.take())
     }
 
     /// Cancels these shards of a batch, also at their targets.
-    pub async fn cancel(&self, _id: BatchId, _shards: Vec<u32>) {}
+    pub async fn cancel(&self, id: BatchId, shards: Vec<u32>) {
+        let batch = self.batches.lock().get(&id).cloned();
+        if let Some(batch) = batch {
+            cancel(&batch, Some(&shards));
+        }
+    }
 
-    /// Runs a request that may not be repeated.
-    pub async fn dispatch(self: &Arc<Self>, _dispatch: Dispatch) -> Result<Dispatched> {
-        Ok(Dispatched { outcome: Outcome::NotRun, result: None, error: Some(Kind::NotOwner) })
+    /// Runs a request that may not be repeated. The outcome is `NotRun` only if nothing was sent or the target refused
+    /// it before it ran.
+    pub async fn dispatch(self: &Arc<Self>, dispatch: Dispatch) -> Result<Dispatched> {
+        let not_run =
+            |kind| Dispatched { outcome: Outcome::NotRun, result: None, error: Some(kind) };
+        if let Err(err) = self.accept(dispatch.fingerprint) {
+            return Ok(not_run(err.kind));
+        }
+        let deadline = Instant::now() + Duration::from_millis(dispatch.deadline_ms);
+        let target = match self.target(&dispatch.target) {
+            Ok(target) => target,
+            Err(kind) => return Ok(not_run(kind)),
+        };
+        if let Err(kind) = self.check_target(dispatch.fingerprint, &target.name) {
+            return Ok(not_run(kind));
+        }
+        let (run, mut rx) = Run::new(dispatch);
+        let work = Work::Run(run.clone());
+        target.enqueue(Job { work, class: Class::Quick, deadline, turn: None, resent: false });
+        let timeout = tokio::time::timeout_at(deadline.into(), &mut rx);
+        let result = match timeout.await {
+            Ok(result) => result,
+            Err(_) if run.abandon() => return Ok(not_run(Kind::Overloaded)),
+            Err(_) => rx.await,
+        };
+        let unknown =
+            Dispatched { outcome: Outcome::Unknown, result: None, error: Some(Kind::Unknown) };
+        Ok(result.unwrap_or(unknown))
     }
 
-    /// Takes over a target whose old owner has finished with it.
-    pub fn release(&self, _release: Release) -> Result<()> {
-        Err(Kind::NotOwner.into())
+    /// The owned targets.
+    pub fn status(&self) -> Vec<OwnedTarget> {
+        let mut targets: Vec<_> = self.targets.read().values().map(|it| it.status()).collect();
+        targets.sort_by(|a, b| a.name.cmp(&b.name));
+        targets
     }
 
-    /// Takes a renewal of an owned target.
-    pub fn renew(&self, _announcement: Announcement) -> Result<()> {
-        Err(Kind::NotOwner.into())
+    /// Rejects all work that this host may not start.
+    fn accept(&self, fingerprint: u64) -> Result<()> {
+        if self.stopping.load(Ordering::Acquire) {
+            return Err(Kind::Leaving.into());
+        }
+        self.shared.lease.check()?;
+        let Some(view) = self.shared.view() else { return Err(Kind::NoLease.into()) };
+        self.shared.canaries.check(&view, fingerprint)?;
+        Ok(())
     }
 
-    /// The owned targets.
-    pub fn status(&self) -> Vec<OwnedTarget> {
-        Vec::new()
+    fn target(&self, name: &str) -> Result<Arc<Target>, Kind> {
+        self.targets.read().get(name).cloned().ok_or(Kind::NotOwner)
     }
 
-    /// Takes no new work, finishes what runs and releases every target.
-    pub async fn stop(self: &Arc<Self>) {}
+    fn check_target(&self, fingerprint: u64, target: &str) -> Result<(), Kind> {
+        let view = self.shared.view().ok_or(Kind::NoLease)?;
+        self.shared.canaries.check_target(&view, fingerprint, target)
+    }
 
-    /// Serves other entry hosts until `shutdown` completes.
-    pub async fn serve(
-        self: Arc<Self>,
-        _listener: TcpListener,
-        shutdown: impl Future,
-    ) -> Result<()> {
-        shutdown.await;
+    fn register(&self, id: BatchId, batch: &Arc<Batch>) -> Result<()> {
+        let mut batches = self.batches.lock();
+        if batches.len() >= MAX_BATCHES {
+            return Err(Error::new(Kind::Overloaded, "too many batches"));
+        }
+        if batches.contains_key(&id) {
+            return Err(Error::new(Kind::BadRequest, format!("the batch {id} runs already")));
+        }
+        batches.insert(id, batch.clone());
         Ok(())
     }
+
+    fn forget(&self, id: BatchId) {
+        self.batches.lock().remove(&id);
+    }
+
+    fn start(&self, batch: &Arc<Batch>) {
+        for (i, item) in batch.batch.items.iter().enumerate() {
+            match self.target(&item.target) {
+                Ok(target) => target.enqueue(job(batch, i, None)),
+                Err(kind) => batch.finish(i, None, Err(kind)),
+            }
+        }
+    }
+
+    /// Runs the sub-requests of a canary batch, each in its turn among those with the same fingerprint.
+    async fn run_canaries(self: Arc<Self>, batch: Arc<Batch>) {
+        let fingerprint = batch.batch.fingerprint;
+        for (i, item) in batch.batch.items.iter().enumerate() {
+            let turn = self.shared.canaries.turn(fingerprint);
+            let Ok(turn) = tokio::time::timeout_at(batch.deadline.into(), turn).await else {
+                return;
+            };
+            let checked = self.check_target(fingerprint, &item.target);
+            match checked.and_then(|()| self.target(&item.target)) {
+                Ok(target) => target.enqueue(job(&batch, i, Some(turn))),
+                Err(kind) => batch.finish(i, None, Err(kind)),
+            }
+        }
+    }
+
+    /// The view in force and the one it replaces.
+    fn replace_view(&self, view: &Arc<View>) -> Option<Arc<View>> {
+        self.shared.view.write().replace(view.clone())
+    }
+}
+
+/// Cancels a batch whose caller went away.
+struct CancelOnDrop<'a> {
+    owner: &'a Owner,
+    batch: Option<&'a Arc<Batch>>,
+}
+
+impl Drop for CancelOnDrop<'_> {
+    fn drop(&mut self) {
+        if let Some(batch) = self.batch {
+            cancel(batch, None);
+            self.owner.forget(batch.batch.id);
+        }
+    }
+}
+
+fn cancel(batch: &Batch, shards: Option<&[u32]>) {
+    for (target, id) in batch.cancel(shards) {
+        target.cancel(id);
+    }
+}
+
+fn job(batch: &Arc<Batch>, item: usize, turn: Option<Turn>) -> Job {
+    Job {
+        work: Work::Sub { batch: batch.clone(), item },
+        class: batch.batch.class,
+        deadline: batch.deadline,
+        turn,
+        resent: false,
+    }
 }
--- /dev/null
+++ b/src/owner/target.rs
@@ -0,0 +1,300 @@
+//! An owned target: its queue, its slots and its connections.
+
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use parking_lot::{Mutex, MutexGuard};
+use tokio::sync::Notify;
+
+use crate::{
+    error::Kind,
+    event::{self, Event},
+    owner::{
+        batch::{Job, Work},
+        conn,
+        guard::{Open, Slot},
+        shared::Shared,
+        state::State,
+    },
+    policy::limit::Step,
+    state::TargetView,
+    wire::{operator::OwnedTarget, owner::Hint},
+};
+
+/// Events about silent connections are recorded at most once in this time for each target.
+const SILENCE_EVENT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// An owned target.
+pub(super) struct Target {
+    pub name: String,
+    pub zone: String,
+    pub addr: SocketAddr,
+    pub incarnation: u64,
+    pub shared: Arc<Shared>,
+    pub drained: Notify,
+    pub(super) state: Mutex<State>,
+}
+
+/// What a connection does next.
+pub(super) enum Next {
+    Work(Job, Slot, u64),
+    Cancel(u64),
+    Park,
+    Close,
+}
+
+impl Target {
+    pub fn new(view: &TargetView, shared: Arc<Shared>, now: Instant) -> Self {
+        Self {
+            name: view.name.clone(),
+            zone: view.zone.clone(),
+            addr: view.addr,
+            incarnation: view.incarnation,
+            shared,
+            drained: Notify::new(),
+            state: Mutex::new(State::new(view, now)),
+        }
+    }
+
+    /// Puts a job into the queue, or rejects it at once if it cannot start in time.
+    pub fn enqueue(self: &Arc<Self>, job: Job) {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        let rejected = state.check(now, &self.shared).and_then(|()| state.check_wait(now, &job));
+        if let Err(kind) = rejected {
+            drop(state);
+            return self.reject(job, kind);
+        }
+        state.queues[job.class as usize].push_back(job);
+        self.pump(&mut state);
+    }
+
+    /// Asks the target to drop a request that runs there.
+    pub fn cancel(self: &Arc<Self>, id: u64) {
+        let mut state = self.state.lock();
+        if state.in_flight > 0 {
+            state.cancels.push_back(id);
+            self.pump(&mut state);
+        }
+    }
+
+    /// Asks the target to drop a sub-request whose connection broke.
+    pub fn cancel_sub(self: &Arc<Self>, job: &Job, id: u64) {
+        if matches!(job.work, Work::Sub { .. }) {
+            self.cancel(id);
+        }
+    }
+
+    /// The next thing to do on a connection. A job that is returned has passed the check before the send and holds a
+    /// slot.
+    pub fn next(self: &Arc<Self>, worker: &Arc<Notify>, woken: bool) -> Next {
+        let now = Instant::now();
+        let mut rejected = Vec::new();
+        let mut state = self.state.lock();
+        if woken {
+            state.woken -= 1;
+        }
+        let next = self.choose(&mut state, now, worker, &mut rejected);
+        drop(state);
+        for (job, kind) in rejected {
+            self.reject(job, kind);
+        }
+        next
+    }
+
+    fn choose(
+        self: &Arc<Self>,
+        state: &mut State,
+        now: Instant,
+        worker: &Arc<Notify>,
+        rejected: &mut Vec<(Job, Kind)>,
+    ) -> Next {
+        if let Some(id) = state.cancels.pop_front() {
+            return Next::Cancel(id);
+        }
+        while state.in_flight < state.limit.value() {
+            let Some(job) = state.queues.iter_mut().find_map(VecDeque::pop_front) else { break };
+            if let Err(kind) = state.check(now, &self.shared) {
+                rejected.push((job, kind));
+                continue;
+            }
+            if job.deadline <= now {
+                rejected.push((job, Kind::Overloaded));
+                continue;
+            }
+            let id = self.shared.next_id();
+            if !job.start(self, id) {
+                continue;
+            }
+            state.in_flight += 1;
+            return Next::Work(job, Slot { target: self.clone(), pump: true }, id);
+        }
+        let spare = state.limit.value() as usize + 1;
+        if state.idle.len() >= spare || (state.closed.is_some() && state.in_flight == 0) {
+            return Next::Close;
+        }
+        state.idle.push(worker.clone());
+        Next::Park
+    }
+
+    /// Takes a parked connection off the list; false if it was woken in the meantime.
+    pub fn unpark(&self, worker: &Arc<Notify>) -> bool {
+        let mut state = self.state.lock();
+        let Some(i) = state.idle.iter().position(|it| Arc::ptr_eq(it, worker)) else {
+            return false;
+        };
+        state.idle.remove(i);
+        true
+    }
+
+    /// A connection that was woken ends instead, so that another one has to do its work.
+    pub fn pass_on(self: &Arc<Self>) {
+        let mut state = self.state.lock();
+        state.woken -= 1;
+        self.pump(&mut state);
+    }
+
+    /// Takes a job back whose connection was closed before the send.
+    pub fn take_back(self: &Arc<Self>, mut job: Job) {
+        if job.resent {
+            return self.reject(job, Kind::NoTarget);
+        }
+        job.restart();
+        let mut state = self.state.lock();
+        state.queues[job.class as usize].push_front(job);
+        self.pump(&mut state);
+    }
+
+    /// Opens a replacement for a connection that carries no bytes.
+    pub fn replace(self: &Arc<Self>) {
+        let now = Instant::now();
+        self.shared.meter.silent.inc();
+        let mut state = self.state.lock();
+        if state.idle.is_empty() && state.connecting == 0 && state.closed.is_none() {
+            self.open(&mut state);
+        }
+        let logged = state
+            .silence_logged
+            .is_some_and(|it| now.saturating_duration_since(it) < SILENCE_EVENT_INTERVAL);
+        if !logged {
+            state.silence_logged = Some(now);
+            drop(state);
+            let cause = format!("no bytes for {} ms", self.shared.silence.as_millis());
+            self.record(event::Kind::ConnectionSilent, cause);
+        }
+    }
+
+    /// Wakes or opens as many connections as there is work that may start.
+    pub fn pump(self: &Arc<Self>, state: &mut MutexGuard<'_, State>) {
+        let queued = state.queued();
+        let free = state.limit.value().saturating_sub(state.in_flight);
+        let needed = queued.min(free) + state.cancels.len() as u32;
+        while needed > state.woken + state.connecting {
+            if let Some(worker) = state.idle.pop() {
+                state.woken += 1;
+                worker.notify_one();
+            } else if !self.open(state) {
+                return;
+            }
+        }
+    }
+
+    fn open(self: &Arc<Self>, state: &mut State) -> bool {
+        // One connection is left for cancel requests.
+        let reserved = u32::from(state.cancels.is_empty() && state.connections > 1);
+        if state.open + reserved >= state.connections || Instant::now() < state.retry_at {
+            return false;
+        }
+        state.open += 1;
+        state.connecting += 1;
+        let open = Open { target: self.clone(), connecting: true };
+        tokio::spawn(conn::run(self.clone(), open));
+        true
+    }
+
+    /// Ends jobs that nobody waits for or that are late, and starts what may start.
+    pub fn sweep(self: &Arc<Self>, now: Instant) {
+        let mut late = Vec::new();
+        let mut state = self.state.lock();
+        let unsendable = state.check(now, &self.shared).err();
+        for queue in &mut state.queues {
+            if queue.is_empty() {
+                continue;
+            }
+            for job in std::mem::take(queue) {
+                match unsendable {
+                    _ if !job.waits() => {}
+                    Some(kind) => late.push((job, kind)),
+                    None if job.deadline <= now => late.push((job, Kind::Overloaded)),
+                    None => queue.push_back(job),
+                }
+            }
+        }
+        if state.closed.is_some() && state.in_flight == 0 {
+            state.cancels.clear();
+            while let Some(worker) = state.idle.pop() {
+                state.woken += 1;
+                worker.notify_one();
+            }
+        }
+        self.pump(&mut state);
+        drop(state);
+        for (job, kind) in late {
+            self.reject(job, kind);
+        }
+    }
+
+    /// Ends a job without sending it.
+    pub fn reject(self: &Arc<Self>, job: Job, kind: Kind) {
+        self.shared.meter.count(kind);
+        job.reject(self, kind);
+    }
+
+    /// Changes the limit, and remembers the change for the next event.
+    pub fn adjust(&self, change: impl FnOnce(&mut State) -> Option<Step>) {
+        let mut state = self.state.lock();
+        let Some(step) = change(&mut state) else { return };
+        let from = state.unlogged.map_or(step.from, |it| it.from);
+        state.unlogged = Some(Step { from, ..step });
+    }
+
+    /// Sends nothing more: what waits is rejected, what runs may end.
+    pub fn close(self: &Arc<Self>, kind: Kind) {
+        self.state.lock().closed = Some(kind);
+        self.sweep(Instant::now());
+    }
+
+    pub fn record(&self, kind: event::Kind, cause: impl Into<String>) {
+        let event = Event::new(kind, cause).target(&self.name).zone(&self.zone);
+        self.shared.events.record(event);
+    }
+
+    pub fn hint(&self) -> Hint {
+        let state = self.state.lock();
+        Hint {
+            target: self.name.clone(),
+            limit: state.limit.value(),
+            in_flight: state.in_flight,
+            queued: state.queued(),
+        }
+    }
+
+    pub fn status(&self) -> OwnedTarget {
+        let now = Instant::now();
+        let state = self.state.lock();
+        OwnedTarget {
+            name: self.name.clone(),
+            zone: self.zone.clone(),
+            limit: state.limit.value(),
+            slots: state.slots,
+            in_flight: state.in_flight,
+            queued: state.queued(),
+            connections: state.open,
+            closed: state.check(now, &self.shared).err().map(|it| state.explain(now, it)),
+        }
+    }
+}
