--- a/src/owner/conn.rs
+++ b/src/owner/conn.rs
@@ -151,8 +151,10 @@
         }
         if matches!(answer, Err(Fault::Broken | Fault::CutOff)) {
             self.check_crash(&job).await;
-            target.cancel_sub(&job, id);
-            self.unknown = Some((slot, deadline));
+            if answer == Err(Fault::Broken) {
+                target.cancel_sub(&job, id);
+                self.unknown = Some((slot, deadline));
+            }
             exchange::finish(&target, &job, id, &answer, elapsed);
             return false;
         }
--- /dev/null
+++ b/tests/owner/connection.rs
@@ -0,0 +1,87 @@
+use std::{
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use futures::future::join_all;
+use gentianpass::{error::Kind, event};
+
+use crate::{
+    batch,
+    fake::{Fake, Mode},
+    host::owning,
+    kinds, run, until,
+};
+
+/// Guards against a connection that stopped carrying data and takes other requests with it.
+#[test]
+fn connection_silent() {
+    run(async {
+        let fake = Fake::start("t");
+        let (_net, host) = owning(&fake, 2, 2).await;
+        fake.once(Mode::Hang);
+        let started = Instant::now();
+        let hanging = host.owner.exec(crate::Batch { deadline_ms: 800, ..batch(1, &["t"]) });
+        let others = async {
+            until("the request hangs", || fake.running() == 1).await;
+            for id in 2..40u64 {
+                let progress = host.owner.exec(batch(id, &["t"])).await.expect("progress");
+                assert_eq!(kinds(&progress), [None]);
+            }
+            until("the silence is recorded", || {
+                host.has_event(event::Kind::ConnectionSilent, "t", "no bytes")
+            })
+            .await;
+            assert!(started.elapsed() < Duration::from_millis(800), "a slow machine");
+            assert!(host.status("t").in_flight >= 1, "the slot is free before the deadline");
+        };
+        let (progress, ()) = futures::join!(hanging, others);
+        assert_eq!(kinds(&progress.expect("progress")), [Some(Kind::Timeout)]);
+        until("the connection is closed at the deadline", || fake.running() == 0).await;
+        until("the slot is free", || host.status("t").in_flight == 0).await;
+    });
+}
+
+/// Guards against idle connections whose end is noticed by a request, and against a restarted target that stays
+/// unreachable.
+#[test]
+fn connection_restarted_target() {
+    run(async {
+        let mut fake = Fake::start("t");
+        let (net, host) = owning(&fake, 2, 2).await;
+        let progress = host.owner.exec(batch(1, &["t"])).await.expect("progress");
+        assert_eq!(kinds(&progress), [None]);
+        until("idle connections are pinged", || fake.facts.health.load(Ordering::SeqCst) > 0).await;
+        fake.crash();
+        let progress = host.owner.exec(batch(2, &["t"])).await.expect("progress");
+        let kind = kinds(&progress)[0].expect("no target");
+        assert!(matches!(kind, Kind::NoTarget | Kind::Disconnected), "{kind}");
+        fake.restart();
+        net.put_target(&fake, 2, 2);
+        host.apply(&net);
+        let progress = host.owner.exec(batch(3, &["t"])).await.expect("progress");
+        assert_eq!(kinds(&progress), [None]);
+    });
+}
+
+/// Guards against more connections than the target accepts while many of them are silent.
+#[test]
+fn connection_limit() {
+    run(async {
+        let fake = Fake::start("t");
+        let (_net, host) = owning(&fake, 12, 12).await;
+        fake.mode(Mode::Hang);
+        let short = |id| crate::Batch { deadline_ms: 500, ..batch(id, &["t"]) };
+        let hanging = join_all((1..=30u64).map(|id| host.owner.exec(short(id))));
+        let watched = async {
+            until("requests hang", || fake.running() == 7).await;
+            assert!(host.status("t").connections <= 8);
+        };
+        let (results, ()) = futures::join!(hanging, watched);
+        let ran = results
+            .iter()
+            .filter(|it| kinds(it.as_ref().expect("progress")) == [Some(Kind::Timeout)]);
+        assert_eq!(ran.count() as u32, fake.handled());
+        assert!(fake.most() <= 7, "one of eight connections is left for cancel requests");
+    });
+}
--- /dev/null
+++ b/tests/owner/limit.rs
@@ -0,0 +1,324 @@
+//! The limit of a target, alone and against a naive version.
+
+use std::time::{Duration, Instant};
+
+use gentianpass::{
+    policy::limit::{
+        COLD_FACTOR, GROW_SUCCESSES, Limit, MAX_HOLD, MIN_HOLD, MIN_SAMPLES, NOISE_US, PROBATION,
+        SHED_WINDOW, SHRINK_INTERVAL, SLOW_FACTOR, SLOW_STREAK, SLOW_WEIGHT, TIMELY_WEIGHT,
+    },
+    wire::owner::Class,
+};
+use proptest::prelude::*;
+
+#[derive(Clone, Copy, Debug)]
+enum Input {
+    Success { broad: bool, us: u64, full: bool },
+    Shed,
+    Timeout { ms: u64 },
+    Report { cold: bool },
+}
+
+fn input() -> impl Strategy<Value = (u64, Input)> {
+    let us = prop_oneof![3 => 800..1_500u64, 1 => 1_500..60_000u64];
+    let input = prop_oneof![
+        20 => (any::<bool>(), us, any::<bool>())
+            .prop_map(|(broad, us, full)| Input::Success { broad, us, full }),
+        1 => Just(Input::Shed),
+        1 => (1..100u64).prop_map(|ms| Input::Timeout { ms }),
+        1 => any::<bool>().prop_map(|cold| Input::Report { cold }),
+    ];
+    (0..120u64, input)
+}
+
+/// Keeps everything that ever happened and works out each decision from that.
+struct Naive {
+    warm_up: u32,
+    slots: u32,
+    value: u32,
+    /// When the limit was set, and whether that was a growth.
+    sets: Vec<(u64, bool)>,
+    /// Whether the latest growth was judged already.
+    growth_open: bool,
+    holds: Vec<u64>,
+    successes: u32,
+    shrinks: Vec<u64>,
+    sheds: Vec<u64>,
+    cold: bool,
+    latencies: [Vec<f64>; 2],
+}
+
+impl Naive {
+    fn new(warm_up: u32, slots: u32) -> Self {
+        let value = warm_up.min(slots);
+        Self {
+            warm_up: value,
+            slots,
+            value,
+            sets: vec![(0, false)],
+            growth_open: false,
+            holds: vec![MIN_HOLD.as_millis() as u64],
+            successes: 0,
+            shrinks: Vec::new(),
+            sheds: Vec::new(),
+            cold: false,
+            latencies: Default::default(),
+        }
+    }
+
+    /// The usual latency and the current streak of slow ones, from the whole history.
+    fn history(latencies: &[f64]) -> (f64, Vec<f64>) {
+        let first = &latencies[..latencies.len().min(MIN_SAMPLES as usize)];
+        let mut usual = first.iter().sum::<f64>() / first.len().max(1) as f64;
+        let mut streak = Vec::new();
+        for &it in &latencies[first.len()..] {
+            if it <= usual * SLOW_FACTOR + NOISE_US {
+                streak.clear();
+                usual += (it - usual) * TIMELY_WEIGHT;
+            } else {
+                streak.push(it);
+                usual += (it - usual) * SLOW_WEIGHT;
+            }
+        }
+        (usual, streak)
+    }
+
+    fn set(&mut self, now: u64, value: u32, growth: bool) {
+        self.value = value;
+        self.successes = 0;
+        self.sets.push((now, growth));
+    }
+
+    fn fail(&mut self, now: u64) {
+        let grown = self.sets.iter().rev().find(|it| it.1).map(|it| it.0);
+        if std::mem::take(&mut self.growth_open)
+            && grown.is_some_and(|it| now - it <= PROBATION.as_millis() as u64)
+        {
+            let doubled = self.holds[self.holds.len() - 1] * 2;
+            self.holds.push(doubled.min(MAX_HOLD.as_millis() as u64));
+        }
+    }
+
+    fn shrink(&mut self, now: u64, floor: u32) {
+        let last = self.shrinks.last();
+        if last.is_some_and(|it| now - it < SHRINK_INTERVAL.as_millis() as u64) {
+            self.successes = 0;
+            return;
+        }
+        self.shrinks.push(now);
+        self.fail(now);
+        self.set(now, floor.max(self.value - 1), false);
+    }
+
+    fn reset(&mut self, now: u64) {
+        if self.value > self.warm_up {
+            self.fail(now);
+        }
+        self.set(now, self.value.min(self.warm_up), false);
+    }
+
+    fn success(&mut self, now: u64, class: usize, us: u64, in_flight: u32) {
+        let before = Self::history(&self.latencies[class]).0;
+        self.latencies[class].push(us as f64);
+        let (_, streak) = Self::history(&self.latencies[class]);
+        let min = streak.iter().copied().fold(f64::INFINITY, f64::min);
+        if streak.len() >= SLOW_STREAK as usize {
+            if min > before * COLD_FACTOR + NOISE_US {
+                self.reset(now);
+            } else {
+                self.shrink(now, self.warm_up.min(self.value));
+            }
+        } else if streak.is_empty() && in_flight >= self.value && self.value < self.slots {
+            self.successes += 1;
+            let held = now - self.sets[self.sets.len() - 1].0 >= self.holds[self.holds.len() - 1];
+            if held && !self.cold && self.successes >= GROW_SUCCESSES {
+                let grown = self.sets.iter().rev().find(|it| it.1).map(|it| it.0);
+                if self.growth_open
+                    && grown.is_some_and(|it| now - it > PROBATION.as_millis() as u64)
+                {
+                    self.holds.push(MIN_HOLD.as_millis() as u64);
+                }
+                self.growth_open = true;
+                self.set(now, self.value + 1, true);
+            }
+        }
+    }
+
+    fn feed(&mut self, now: u64, input: Input, in_flight: u32) {
+        match input {
+            Input::Success { broad, us, .. } => {
+                self.success(now, usize::from(broad), us, in_flight);
+            }
+            Input::Shed => {
+                let last = self.sheds.last();
+                let again = last.is_some_and(|it| now - it <= SHED_WINDOW.as_millis() as u64);
+                self.sheds.push(now);
+                if again && self.value > self.warm_up {
+                    self.reset(now);
+                } else {
+                    self.shrink(now, 1);
+                }
+            }
+            Input::Timeout { ms } => {
+                let (usual, _) = Self::history(&self.latencies[0]);
+                let known = self.latencies[0].len() >= MIN_SAMPLES as usize;
+                if !known || ms as f64 * 1_000.0 > usual * SLOW_FACTOR + NOISE_US {
+                    self.shrink(now, 1);
+                }
+            }
+            Input::Report { cold } => {
+                self.cold = cold;
+                if cold {
+                    self.reset(now);
+                }
+            }
+        }
+    }
+}
+
+fn feed(limit: &mut Limit, now: Instant, input: Input, in_flight: u32) {
+    match input {
+        Input::Success { broad, us, .. } => {
+            let class = if broad { Class::Broad } else { Class::Quick };
+            limit.succeed(now, class, Duration::from_micros(us), in_flight);
+        }
+        Input::Shed => {
+            limit.shed(now);
+        }
+        Input::Timeout { ms } => {
+            limit.time_out(now, Class::Quick, Duration::from_millis(ms));
+        }
+        Input::Report { cold } => {
+            limit.report(now, cold);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against shortcuts in the incremental version that lose part of the history.
+    #[test]
+    fn limit_same_as_naive(
+        warm_up in 1..4u32,
+        slots in 1..8u32,
+        inputs in prop::collection::vec(input(), 1..400),
+    ) {
+        let start = Instant::now();
+        let (mut limit, mut naive) = (Limit::new(start, warm_up, slots), Naive::new(warm_up, slots));
+        let mut now_ms = 0;
+        for (pause_ms, input) in inputs {
+            now_ms += pause_ms;
+            let full = matches!(input, Input::Success { full: true, .. });
+            let in_flight = if full { limit.value() } else { 0 };
+            feed(&mut limit, start + Duration::from_millis(now_ms), input, in_flight);
+            naive.feed(now_ms, input, in_flight);
+            prop_assert_eq!(limit.value(), naive.value, "after {:?} at {} ms", input, now_ms);
+        }
+    }
+
+    /// Guards against more requests in flight than the limit, when each start asks the limit first, and against limits
+    /// above the slots or growth while the target says that it is cold.
+    #[test]
+    fn limit_never_exceeded(
+        warm_up in 1..4u32,
+        slots in 1..8u32,
+        inputs in prop::collection::vec((input(), 0..4u32), 1..400),
+    ) {
+        let mut now = Instant::now();
+        let mut limit = Limit::new(now, warm_up, slots);
+        let (mut in_flight, mut cold) = (0, false);
+        for ((pause_ms, input), starts) in inputs {
+            now += Duration::from_millis(pause_ms);
+            for _ in 0..starts {
+                if in_flight < limit.value() {
+                    in_flight += 1;
+                    prop_assert!(in_flight <= limit.value() && in_flight <= slots);
+                }
+            }
+            let before = limit.value();
+            if let Input::Report { cold: reported } = input {
+                cold = reported;
+                feed(&mut limit, now, input, in_flight);
+                prop_assert!(limit.value() <= before, "a report raised the limit");
+                prop_assert!(!cold || limit.value() <= warm_up);
+            } else if in_flight > 0 {
+                feed(&mut limit, now, input, in_flight);
+                in_flight -= 1;
+            }
+            prop_assert!((1..=slots).contains(&limit.value()));
+            prop_assert!(!cold || limit.value() <= before, "grew while cold");
+        }
+    }
+}
+
+/// A limit at all its slots, with a history of 1 ms.
+fn warm(now: &mut Instant) -> Limit {
+    let mut limit = Limit::new(*now, 1, 4);
+    while limit.value() < 4 {
+        succeed(&mut limit, now, 1_000);
+    }
+    limit
+}
+
+fn succeed(limit: &mut Limit, now: &mut Instant, us: u64) {
+    *now += Duration::from_millis(10);
+    limit.succeed(*now, Class::Quick, Duration::from_micros(us), limit.value());
+}
+
+/// Guards against capacity that is lost to single stragglers.
+#[test]
+fn limit_straggler() {
+    let now = &mut Instant::now();
+    let mut limit = warm(now);
+    for _ in 0..50 {
+        succeed(&mut limit, now, 200_000);
+        succeed(&mut limit, now, 1_000);
+    }
+    assert_eq!(limit.value(), 4);
+}
+
+/// Guards against a cold target under full load: a jump of the latency, sheds and reports reset the limit at once.
+#[test]
+fn limit_turned_cold() {
+    let now = &mut Instant::now();
+    let mut slow = warm(now);
+    for _ in 0..SLOW_STREAK {
+        succeed(&mut slow, now, 20_000);
+    }
+    assert_eq!(slow.value(), 1);
+
+    let mut shedding = warm(now);
+    shedding.shed(*now);
+    shedding.shed(*now + Duration::from_millis(1));
+    assert_eq!(shedding.value(), 1);
+
+    let mut reported = warm(now);
+    reported.report(*now, true);
+    assert_eq!(reported.value(), 1);
+    reported.report(*now, false);
+    assert_eq!(reported.value(), 1, "a reported warm never raises the limit");
+}
+
+/// Guards against a target that is pushed over its capacity again and again at the same pace.
+#[test]
+fn limit_failed_growth() {
+    let now = &mut Instant::now();
+    let mut limit = Limit::new(*now, 1, 4);
+    let mut paces = Vec::new();
+    for _ in 0..4 {
+        let start = *now;
+        while limit.value() == 1 {
+            succeed(&mut limit, now, 1_000);
+        }
+        paces.push(*now - start);
+        limit.shed(*now);
+    }
+    let doubled = |it: &[Duration]| it[1] >= it[0] * 3 / 2;
+    assert!(paces.windows(2).all(doubled), "{paces:?}");
+    assert_eq!(limit.value(), 1);
+}
--- /dev/null
+++ b/tests/owner/server.rs
@@ -0,0 +1,95 @@
+use std::time::{Duration, Instant};
+
+use gentianpass::{error::Kind, event, peer::Peers};
+use tarpc::context;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+use crate::{
+    batch,
+    fake::{Fake, Mode},
+    host::owning,
+    kinds, run, until,
+};
+
+/// Guards against calls between hosts that lose their meaning on the way.
+#[test]
+fn server_exec() {
+    run(async {
+        let fake = Fake::start("t");
+        let (_net, host) = owning(&fake, 2, 2).await;
+        let client = Peers::new().get(host.rpc).await.expect("client");
+        let progress =
+            client.exec(context::current(), batch(1, &["t"])).await.expect("call").expect("reply");
+        assert_eq!(kinds(&progress), [None]);
+        let err = client.collect(context::current(), 1, 0).await.expect("call").expect_err("gone");
+        assert_eq!(err.kind, Kind::NotFound);
+    });
+}
+
+/// Guards against work that goes on for a root whose process ended.
+#[test]
+fn server_root_gone() {
+    run(async {
+        let fake = Fake::start("t");
+        let (_net, host) = owning(&fake, 2, 2).await;
+        fake.mode(Mode::Hang);
+        let peers = Peers::new();
+        let client = peers.get(host.rpc).await.expect("client");
+        let call = tokio::spawn(async move {
+            let _ = client.exec(context::current(), batch(1, &["t"])).await;
+        });
+        until("it runs", || fake.running() == 1).await;
+        call.abort();
+        until("the target knows", || !fake.facts.cancelled.lock().is_empty()).await;
+    });
+}
+
+/// Guards against a peer that sends garbage or a frame over the limit and keeps its connection, and against more than
+/// one log line about it.
+#[test]
+fn server_garbage() {
+    run(async {
+        let fake = Fake::start("t");
+        let (_net, host) = owning(&fake, 2, 2).await;
+        let frames: [&[u8]; 2] = [&[0xff; 64], b"\x00\x00\x00\x04\xff\xff\xff\xff"];
+        for (i, garbage) in frames.into_iter().enumerate() {
+            let mut stream = TcpStream::connect(host.rpc).await.expect("connection");
+            stream.write_all(garbage).await.expect("write");
+            let read = tokio::time::timeout(Duration::from_secs(5), stream.read_u8()).await;
+            assert!(read.expect("cut off").is_err());
+            let filter = event::Filter::default();
+            let count = || {
+                let events = host.events.find(&filter);
+                events.iter().filter(|it| it.kind == event::Kind::PeerRejected).count()
+            };
+            until("it is recorded", || count() == i + 1).await;
+        }
+        let client = Peers::new().get(host.rpc).await.expect("client");
+        let answer = client.collect(context::current(), 1, 0).await.expect("call");
+        assert_eq!(answer.expect_err("no batch").kind, Kind::NotFound);
+    });
+}
+
+/// Guards against calls that go to a peer whose connection stopped carrying data.
+#[test]
+fn server_silent_peer() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("listener");
+        let addr = listener.local_addr().expect("address");
+        let accepted = tokio::spawn(async move {
+            let first = listener.accept().await.expect("first");
+            let second = listener.accept().await.expect("second");
+            (first, second)
+        });
+        let peers = Peers::new();
+        let end = Instant::now() + Duration::from_secs(10);
+        while !accepted.is_finished() {
+            assert!(Instant::now() < end, "the silent peer was not replaced");
+            let _ = peers.get(addr).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
