Add the entry host: HTTP API, root of queries, dispatch, poll loop, announcements, planned stop

Cause: callers need one process that pins a version, fans out over the owners of targets and answers with true coverage. Change: src/entry and the binary gentianpass-entry; the fan-out is a state machine without input or output.

--- /dev/null
+++ b/src/entry/fan.rs
@@ -0,0 +1,392 @@
+//! One fan-out of a query over the shards of one index version: which sub-requests run, which shards are settled and
+//! which messages go to which owner. It does no input or output of its own.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+
+use crate::{
+    entry::{
+        decide::Group,
+        host::{Current, Host},
+        metrics::Cause,
+        owners::{Owners, Peer},
+        query::Ask,
+        shard::Shards,
+        step::{self, Sent, Step},
+    },
+    error::{Kind, Result},
+    policy::budget::QueryRetries,
+    state::{NodeKey, TargetKey, View},
+    wire::{
+        caller::Row,
+        owner::{Batch, BatchId, Finished, Progress},
+    },
+};
+
+/// What the report of an owner may take beyond the hedge delay. Two regions are 16 ms apart, there and back.
+const REPORT_SLACK: Duration = Duration::from_millis(25);
+
+/// Whether failed sub-requests are tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mode {
+    Canary,
+    Full,
+}
+
+/// One fan-out of a query.
+pub(super) struct Fan<O: Owners> {
+    host: Arc<Host<O>>,
+    ask: Arc<Ask>,
+    mode: Mode,
+    shards: Shards,
+    batches: HashMap<BatchId, Sent>,
+    retries: QueryRetries,
+    group: Arc<Mutex<Group>>,
+    canaries: u32,
+    canary_failure: Option<Kind>,
+    /// Sub-answers that nobody asked for.
+    pub(super) foreign: u32,
+    /// Sub-requests sent beyond the first one per shard.
+    pub(super) extra: u32,
+}
+
+impl<O: Owners> Fan<O> {
+    /// Starts with nothing sent.
+    pub(super) fn new(host: Arc<Host<O>>, ask: Arc<Ask>, version: u64, total: usize) -> Self {
+        Self {
+            retries: QueryRetries::new(total as u32),
+            group: host.policy.group(&ask.group),
+            shards: Shards::new(version, total),
+            mode: Mode::Full,
+            batches: HashMap::new(),
+            canaries: 0,
+            canary_failure: None,
+            foreign: 0,
+            extra: 0,
+            host,
+            ask,
+        }
+    }
+
+    /// What is known of the shards.
+    pub(super) fn shards(&self) -> &Shards {
+        &self.shards
+    }
+
+    /// Takes all rows, sorted by id.
+    pub(super) fn take_rows(&mut self) -> Vec<Row> {
+        self.shards.take_rows()
+    }
+
+    /// How many canary requests were sent.
+    pub(super) fn canaries(&self) -> u32 {
+        self.canaries
+    }
+
+    /// Why the last canary request failed, if it did.
+    pub(super) fn canary_failure(&self, shard: u32) -> Option<Kind> {
+        self.canary_failure.or_else(|| self.shards.failure(shard))
+    }
+
+    /// Whether nothing is running any more.
+    pub(super) fn idle(&self) -> bool {
+        self.batches.is_empty()
+    }
+
+    /// Sends the canary request of a new fingerprint.
+    pub(super) fn canary(&mut self, shard: u32, target: TargetKey) -> Vec<Step> {
+        self.mode = Mode::Canary;
+        self.canaries += 1;
+        self.canary_failure = None;
+        let current = self.host.current();
+        self.send(&current, vec![(shard, target)], Cause::Canary)
+    }
+
+    /// Sends a sub-request to each shard that is not settled.
+    pub(super) fn full(&mut self, cause: Cause) -> Vec<Step> {
+        self.mode = Mode::Full;
+        let current = self.host.current();
+        let mut chosen = Vec::new();
+        for number in self.shards.open() {
+            match self.choose(&current, number) {
+                Ok(target) => chosen.push((number, target)),
+                Err(kind) => self.shards.give_up(number, kind),
+            }
+        }
+        self.send(&current, chosen, cause)
+    }
+
+    /// Takes the answer of an owner.
+    pub(super) fn progress(&mut self, id: BatchId, answer: Result<Progress>) -> Vec<Step> {
+        let Some(mut sent) = self.batches.remove(&id) else { return Vec::new() };
+        let mut steps = Vec::new();
+        let mut failed = Vec::new();
+        match answer {
+            Ok(progress) => {
+                let now = Instant::now();
+                self.host.current().learn(&progress.hints, now);
+                for finished in progress.finished {
+                    self.finished(id, &mut sent, finished, &mut steps, &mut failed);
+                }
+                let pending: HashSet<u32> = progress.pending.into_iter().collect();
+                let lost = sent.items.keys().filter(|it| !pending.contains(it));
+                failed.extend(lost.map(|it| (*it, Kind::BadAnswer)));
+                sent.items.retain(|it, _| pending.contains(it));
+            }
+            Err(err) => {
+                failed.extend(sent.items.keys().map(|it| (*it, err.kind)));
+                sent.items.clear();
+            }
+        }
+        if !sent.items.is_empty() {
+            let wait = self.ask.end.saturating_duration_since(Instant::now());
+            steps.push(Step::Collect(sent.peer.clone(), id, wait));
+            self.batches.insert(id, sent);
+        }
+        steps.extend(self.retry(id, failed));
+        steps.extend(self.hedge(Some(id), Instant::now()));
+        steps
+    }
+
+    /// When [`Self::tick`] has something to do.
+    pub(super) fn next_tick(&self) -> Instant {
+        let hedges = self.batches.values().map(|it| it.hedge_at);
+        hedges.map(|it| it + REPORT_SLACK).chain([self.ask.end]).min().unwrap_or(self.ask.end)
+    }
+
+    /// Hedges late sub-requests, and gives up what is not settled by the deadline.
+    pub(super) fn tick(&mut self, now: Instant) -> Vec<Step> {
+        if now >= self.ask.end {
+            return self.stop();
+        }
+        self.hedge(None, now.checked_sub(REPORT_SLACK).unwrap_or(now))
+    }
+
+    /// Cancels what runs; its shards end with a timeout.
+    fn stop(&mut self) -> Vec<Step> {
+        for number in self.shards.open() {
+            self.shards.give_up(number, Kind::Timeout);
+        }
+        let batches = std::mem::take(&mut self.batches);
+        let cancel = |(id, sent): (BatchId, Sent)| {
+            Step::Cancel(sent.peer, id, sent.items.into_keys().collect())
+        };
+        batches.into_iter().map(cancel).collect()
+    }
+
+    fn finished(
+        &mut self,
+        id: BatchId,
+        sent: &mut Sent,
+        finished: Finished,
+        steps: &mut Vec<Step>,
+        failed: &mut Vec<(u32, Kind)>,
+    ) {
+        if sent.items.get(&finished.shard) != Some(&finished.target) {
+            self.foreign += 1;
+            return;
+        }
+        sent.items.remove(&finished.shard);
+        match finished.result {
+            Ok(rows) => {
+                let elapsed = Duration::from_micros(finished.elapsed_us);
+                self.group.lock().observe(elapsed, Instant::now());
+                let losers = self.shards.done(finished.shard, rows);
+                for loser in losers.into_iter().filter(|it| *it != id) {
+                    steps.extend(self.cancel(loser, finished.shard));
+                }
+            }
+            Err(kind) => failed.push((finished.shard, kind)),
+        }
+    }
+
+    fn cancel(&mut self, id: BatchId, shard: u32) -> Option<Step> {
+        let sent = self.batches.get_mut(&id)?;
+        sent.items.remove(&shard)?;
+        let step = Step::Cancel(sent.peer.clone(), id, vec![shard]);
+        if sent.items.is_empty() {
+            self.batches.remove(&id);
+        }
+        Some(step)
+    }
+
+    /// Tries failed sub-requests elsewhere, unless another copy still runs or the rules forbid it.
+    fn retry(&mut self, id: BatchId, failed: Vec<(u32, Kind)>) -> Vec<Step> {
+        if failed.is_empty() {
+            return Vec::new();
+        }
+        let current = self.host.current();
+        let mut chosen = Vec::new();
+        for (number, kind) in failed {
+            current.failed(self.shards.asked(number, id), kind);
+            let done = self.shards.failed(number, id, kind);
+            if self.mode == Mode::Canary {
+                self.canary_failure = Some(kind);
+                continue;
+            }
+            if kind == Kind::Disconnected {
+                self.host.policy.suspect(self.ask.fingerprint);
+            }
+            if done {
+                continue;
+            }
+            match self.choose_again(&current, number, kind) {
+                Ok(target) => chosen.push((number, target)),
+                Err(kind) => self.shards.give_up(number, kind),
+            }
+        }
+        self.send(&current, chosen, Cause::Retry)
+    }
+
+    fn choose_again(
+        &mut self,
+        current: &Current,
+        shard: u32,
+        kind: Kind,
+    ) -> Result<TargetKey, Kind> {
+        if Instant::now() >= self.ask.end {
+            return Err(kind);
+        }
+        let target = self.choose(current, shard)?;
+        let allowed = self.group.lock().try_retry(&mut self.retries, kind);
+        if allowed { Ok(target) } else { Err(kind) }
+    }
+
+    /// Sends a second copy of each late sub-request of this batch, or of all.
+    fn hedge(&mut self, only: Option<BatchId>, due: Instant) -> Vec<Step> {
+        if self.mode == Mode::Canary {
+            return Vec::new();
+        }
+        let now = Instant::now();
+        let delay = self.group.lock().hedge_delay(now);
+        let mut late = Vec::new();
+        for (id, sent) in &mut self.batches {
+            if sent.hedge_at <= due && only.is_none_or(|it| it == *id) {
+                let elapsed = now.saturating_duration_since(sent.at);
+                late.extend(sent.items.keys().map(|it| (*it, elapsed)));
+                sent.hedge_at = now + delay;
+            }
+        }
+        let current = self.host.current();
+        let mut chosen = Vec::new();
+        for (number, elapsed) in late {
+            let Some(copies) = self.shards.copies(number) else { continue };
+            let Ok(target) = self.choose(&current, number) else { continue };
+            if self.group.lock().try_hedge(copies, elapsed, now) {
+                chosen.push((number, target));
+            }
+        }
+        self.send(&current, chosen, Cause::Hedge)
+    }
+
+    /// A usable target of the shard that was not asked yet, or why there is none.
+    fn choose(&mut self, current: &Current, number: u32) -> Result<TargetKey, Kind> {
+        let view = &current.view;
+        let group = view.group(&self.ask.group);
+        let version = self.shards.version();
+        let version = group.and_then(|it| it.versions.iter().find(|it| it.number == version));
+        let replicas = version.and_then(|it| it.shards.get(number as usize));
+        let replicas = replicas.map_or(&[][..], Vec::as_slice);
+        let usable: Vec<TargetKey> = replicas
+            .iter()
+            .copied()
+            .filter(|it| view.target(*it).usable && view.target(*it).owner.is_some())
+            .collect();
+        let shard = self.shards.get_mut(number);
+        if usable.is_empty() {
+            let kind = if replicas.is_empty() { Kind::NoTarget } else { Kind::Draining };
+            shard.lost = true;
+            return Err(shard.reason(kind));
+        }
+        let untried: Vec<TargetKey> = usable
+            .into_iter()
+            .filter(|it| {
+                let target = view.target(*it);
+                let owner = target.owner.map(|it| view.node(it).incarnation);
+                !shard.tried.iter().any(|it| it.target == target.name && Some(it.owner) == owner)
+            })
+            .collect();
+        current.pick(&untried).ok_or_else(|| shard.reason(Kind::NoTarget))
+    }
+
+    /// Groups sub-requests by owner. The lease is checked here, at the last step before the send.
+    fn send(
+        &mut self,
+        current: &Current,
+        chosen: Vec<(u32, TargetKey)>,
+        cause: Cause,
+    ) -> Vec<Step> {
+        if chosen.is_empty() {
+            return Vec::new();
+        }
+        if let Err(err) = self.host.check_lease() {
+            for (number, _) in chosen {
+                self.shards.refused(number, err.kind);
+            }
+            return Vec::new();
+        }
+        self.host.metrics.subs(cause, chosen.len());
+        if matches!(cause, Cause::First | Cause::Canary | Cause::Restart) {
+            self.group.lock().earn(chosen.len());
+        }
+        if !matches!(cause, Cause::First | Cause::Canary) {
+            self.extra += chosen.len() as u32;
+        }
+        let mut by_owner: BTreeMap<NodeKey, Vec<(u32, TargetKey)>> = BTreeMap::new();
+        for (number, target) in chosen {
+            let Some(owner) = current.view.target(target).owner else { continue };
+            by_owner.entry(owner).or_default().push((number, target));
+        }
+        let now = Instant::now();
+        by_owner
+            .into_iter()
+            .map(|(owner, chosen)| self.send_to(&current.view, owner, &chosen, now))
+            .collect()
+    }
+
+    fn send_to(
+        &mut self,
+        view: &View,
+        owner: NodeKey,
+        chosen: &[(u32, TargetKey)],
+        now: Instant,
+    ) -> Step {
+        let id = self.host.batch_id();
+        let node = view.node(owner);
+        let mut items = BTreeMap::new();
+        for (number, target) in chosen {
+            let name = &view.target(*target).name;
+            self.shards.sent(*number, id, name, node.incarnation);
+            items.insert(*number, name.clone());
+        }
+        let delay = self.group.lock().hedge_delay(now);
+        let longest = Duration::from_millis(self.host.parts.cfg.max_sub_request_ms);
+        let left = self.ask.end.saturating_duration_since(now).min(longest);
+        let canary = self.mode == Mode::Canary;
+        let partial_after = if canary { left } else { delay };
+        let version = self.shards.version();
+        let batch = step::batch(&self.ask, id, version, &items, left, partial_after);
+        let batch = Batch { canary, ..batch };
+        let peer = Arc::new(Peer::from(node));
+        let sent = Sent { peer: peer.clone(), at: now, hedge_at: now + delay, items };
+        self.batches.insert(id, sent);
+        Step::Exec(peer, Box::new(batch))
+    }
+}
+
+impl<O: Owners> Drop for Fan<O> {
+    /// Cancels what still runs when the caller went away.
+    fn drop(&mut self) {
+        let steps = self.stop();
+        if steps.is_empty() {
+            return;
+        }
+        let host = self.host.clone();
+        tokio::spawn(async move { super::drive::cancel(&host, steps).await });
+    }
+}
--- /dev/null
+++ b/src/entry/fleet.rs
@@ -0,0 +1,119 @@
+//! The owners of targets in a running system: this process and the other entry hosts.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use tarpc::{client::RpcError, context};
+
+use crate::{
+    entry::owners::{Owners, Peer},
+    error::{Error, Kind, Result},
+    owner::Owner,
+    peer::Peers,
+    state::View,
+    wire::{
+        operator::OwnedTarget,
+        owner::{Batch, BatchId, Dispatch, Dispatched, Progress},
+        target::Announcement,
+    },
+};
+
+/// How long a call may take that waits for nothing at the other host.
+const SHORT_CALL: Duration = Duration::from_millis(500);
+
+/// What the answer to a dispatch may take beyond the deadline of the dispatch itself.
+const DISPATCH_SLACK: Duration = Duration::from_millis(20);
+
+/// This process's owner and the connections to the other ones.
+pub struct Fleet {
+    name: String,
+    incarnation: u64,
+    owner: Arc<Owner>,
+    peers: Arc<Peers>,
+}
+
+impl Fleet {
+    /// Makes the owners as the process of this host sees them.
+    pub fn new(name: &str, incarnation: u64, owner: Arc<Owner>, peers: Arc<Peers>) -> Self {
+        Self { name: name.to_owned(), incarnation, owner, peers }
+    }
+
+    fn is_local(&self, peer: &Peer) -> bool {
+        peer.incarnation == self.incarnation && peer.name == self.name
+    }
+}
+
+impl Owners for Fleet {
+    fn apply(&self, view: &Arc<View>) {
+        self.owner.apply(view);
+    }
+
+    async fn exec(&self, peer: &Peer, batch: Batch) -> Result<Progress> {
+        if self.is_local(peer) {
+            return self.owner.exec(batch).await;
+        }
+        let timeout = Duration::from_millis(batch.deadline_ms);
+        let client = self.peers.get(peer.rpc).await?;
+        client.exec(deadline(timeout), batch).await.unwrap_or_else(|err| failed(&err))
+    }
+
+    async fn collect(&self, peer: &Peer, id: BatchId, wait: Duration) -> Result<Progress> {
+        if self.is_local(peer) {
+            return self.owner.collect(id, wait).await;
+        }
+        let client = self.peers.get(peer.rpc).await?;
+        let wait_ms = wait.as_millis() as u64;
+        client.collect(deadline(wait), id, wait_ms).await.unwrap_or_else(|err| failed(&err))
+    }
+
+    async fn cancel(&self, peer: &Peer, id: BatchId, shards: Vec<u32>) {
+        if self.is_local(peer) {
+            return self.owner.cancel(id, shards).await;
+        }
+        if let Ok(client) = self.peers.get(peer.rpc).await {
+            let _ = client.cancel(deadline(SHORT_CALL), id, shards).await;
+        }
+    }
+
+    async fn dispatch(&self, peer: &Peer, dispatch: Dispatch) -> Result<Dispatched> {
+        if self.is_local(peer) {
+            return self.owner.dispatch(dispatch).await;
+        }
+        let timeout = Duration::from_millis(dispatch.deadline_ms) + DISPATCH_SLACK;
+        let client = self.peers.get(peer.rpc).await?;
+        client.dispatch(deadline(timeout), dispatch).await.unwrap_or_else(|err| failed(&err))
+    }
+
+    async fn renew(&self, peer: &Peer, announcement: Announcement) -> Result<()> {
+        if self.is_local(peer) {
+            return self.owner.renew(announcement);
+        }
+        let client = self.peers.get(peer.rpc).await?;
+        client.renew(deadline(SHORT_CALL), announcement).await.unwrap_or_else(|err| failed(&err))
+    }
+
+    fn status(&self) -> Vec<OwnedTarget> {
+        self.owner.status()
+    }
+
+    async fn stop(&self) {
+        self.owner.stop().await;
+    }
+}
+
+fn deadline(timeout: Duration) -> context::Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + timeout;
+    context
+}
+
+/// The kinds have the outcome `unknown`, because the call may have arrived.
+fn failed<T>(err: &RpcError) -> Result<T> {
+    let kind = match err {
+        RpcError::DeadlineExceeded => Kind::Timeout,
+        _ => Kind::Disconnected,
+    };
+    Err(Error::new(kind, format!("entry host: {err}")))
+}
--- /dev/null
+++ b/src/entry/list.rs
@@ -0,0 +1,16 @@
+//! The list of entry hosts for a caller.
+
+use crate::{
+    entry::{host::Host, owners::Owners},
+    error::Result,
+    policy::entries,
+    wire::caller::Entries,
+};
+
+/// The addresses that this caller uses until the list expires.
+pub(super) fn run<O: Owners>(host: &Host<O>, caller: &str) -> Result<Entries> {
+    host.check_lease()?;
+    let view = host.view();
+    let addresses = entries::addresses(caller, view.nodes().map(|(_, it)| it));
+    Ok(Entries { ttl_ms: host.parts.cfg.entries_ttl_ms, addresses })
+}
--- /dev/null
+++ b/src/entry/metrics.rs
@@ -0,0 +1,81 @@
+//! Metrics of the root of queries.
+
+use std::time::Duration;
+
+use prometheus::{HistogramVec, IntCounterVec};
+
+use crate::{error::Kind, metric::Registry, wire::owner::Class};
+
+/// Metrics of the root of queries.
+pub struct Metrics {
+    queries: IntCounterVec,
+    durations: HistogramVec,
+    subs: IntCounterVec,
+    connections: IntCounterVec,
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    pub fn new(registry: &Registry) -> Self {
+        Self {
+            queries: registry.counter(
+                "gentianpass_entry_requests_total",
+                "Callers' requests by endpoint, class and result.",
+                &["endpoint", "class", "result"],
+            ),
+            durations: registry.duration(
+                "gentianpass_entry_request_duration_seconds",
+                "Time from the arrival of a request to its answer.",
+                &["endpoint", "class"],
+            ),
+            subs: registry.counter(
+                "gentianpass_entry_sub_requests_total",
+                "Sub-requests sent, by cause: first, canary, hedge, retry, restart.",
+                &["cause"],
+            ),
+            connections: registry.counter(
+                "gentianpass_entry_connections_total",
+                "Connections from callers and targets, by result: accepted, refused.",
+                &["result"],
+            ),
+        }
+    }
+
+    /// Counts a request; without an error it is `done`, or `partial` if shards are missing.
+    pub fn request(&self, endpoint: &str, class: &str, result: &str, took: Duration) {
+        self.queries.with_label_values(&[endpoint, class, result]).inc();
+        self.durations.with_label_values(&[endpoint, class]).observe(took.as_secs_f64());
+    }
+
+    /// Counts sub-requests that were sent.
+    pub fn subs(&self, cause: Cause, count: usize) {
+        self.subs.with_label_values(&[<&str>::from(cause)]).inc_by(count as u64);
+    }
+
+    /// Counts a connection.
+    pub fn connection(&self, accepted: Result<(), Kind>) {
+        let result = if accepted.is_ok() { "accepted" } else { "refused" };
+        self.connections.with_label_values(&[result]).inc();
+    }
+}
+
+/// Why a sub-request was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Cause {
+    /// The first one for its shard.
+    First,
+    /// The canary request of a new fingerprint.
+    Canary,
+    /// Another replica, because the first is late.
+    Hedge,
+    /// Another replica, because the first failed.
+    Retry,
+    /// The query was restarted on another version.
+    Restart,
+}
+
+/// The metric label of an admission class.
+pub fn class_label(class: Option<Class>) -> &'static str {
+    class.map_or("none", <&'static str>::from)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! Query tier over many shards: routing, limits, snapshots of the index and true coverage.
 
 pub mod control;
+pub mod entry;
 pub mod error;
 pub mod event;
 pub mod lease;
