--- a/src/entry/drive.rs
+++ b/src/entry/drive.rs
@@ -54,7 +54,10 @@
             let id = batch.id;
             (id, host.owners.exec(&peer, *batch).instrument(span).await)
         }
-        Step::Collect(peer, id, wait) => {
+        Step::Collect { peer, id, pause, wait } => {
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
             let span = info_span!("owner_collect", owner = %peer.name);
             (id, host.owners.collect(&peer, id, wait).instrument(span).await)
         }
--- a/src/entry/fan.rs
+++ b/src/entry/fan.rs
@@ -8,10 +8,12 @@
 };
 
 use parking_lot::Mutex;
+use tokio::runtime::Handle;
 
 use crate::{
     entry::{
         decide::Group,
+        drive,
         host::{Current, Host},
         metrics::Cause,
         owners::{Owners, Peer},
@@ -49,6 +51,7 @@
     group: Arc<Mutex<Group>>,
     canaries: u32,
     canary_failure: Option<Kind>,
+    canary_end: Instant,
     /// Sub-answers that nobody asked for.
     pub(super) foreign: u32,
     /// Sub-requests sent beyond the first one per shard.
@@ -66,6 +69,7 @@
             batches: HashMap::new(),
             canaries: 0,
             canary_failure: None,
+            canary_end: ask.end,
             foreign: 0,
             extra: 0,
             host,
@@ -103,6 +107,9 @@
         self.mode = Mode::Canary;
         self.canaries += 1;
         self.canary_failure = None;
+        // A canary without an answer leaves the other half of the time to a second one and to the query itself.
+        let now = Instant::now();
+        self.canary_end = now + self.ask.end.saturating_duration_since(now) / 2;
         let current = self.host.current();
         self.send(&current, vec![(shard, target)], Cause::Canary)
     }
@@ -113,7 +120,7 @@
         let current = self.host.current();
         let mut chosen = Vec::new();
         for number in self.shards.open() {
-            match self.choose(&current, number) {
+            match self.shards.choose(&current, &self.ask.group, number) {
                 Ok(target) => chosen.push((number, target)),
                 Err(kind) => self.shards.give_up(number, kind),
             }
@@ -139,13 +146,14 @@
                 sent.items.retain(|it, _| pending.contains(it));
             }
             Err(err) => {
-                failed.extend(sent.items.keys().map(|it| (*it, err.kind)));
+                let kind = sent.failure(err.kind);
+                failed.extend(sent.items.keys().map(|it| (*it, kind)));
                 sent.items.clear();
             }
         }
         if !sent.items.is_empty() {
             let wait = self.ask.end.saturating_duration_since(Instant::now());
-            steps.push(Step::Collect(sent.peer.clone(), id, wait));
+            steps.push(sent.collect(id, wait));
             self.batches.insert(id, sent);
         }
         steps.extend(self.retry(id, failed));
@@ -155,6 +163,9 @@
 
     /// When [`Self::tick`] has something to do.
     pub(super) fn next_tick(&self) -> Instant {
+        if self.mode == Mode::Canary {
+            return self.canary_end;
+        }
         let hedges = self.batches.values().map(|it| it.hedge_at);
         hedges.map(|it| it + REPORT_SLACK).chain([self.ask.end]).min().unwrap_or(self.ask.end)
     }
@@ -164,6 +175,9 @@
         if now >= self.ask.end {
             return self.stop();
         }
+        if self.mode == Mode::Canary && now >= self.canary_end {
+            return self.stop_canary();
+        }
         self.hedge(None, now.checked_sub(REPORT_SLACK).unwrap_or(now))
     }
 
@@ -172,6 +186,21 @@
         for number in self.shards.open() {
             self.shards.give_up(number, Kind::Timeout);
         }
+        self.cancel_all()
+    }
+
+    /// Cancels a canary request that takes too long.
+    fn stop_canary(&mut self) -> Vec<Step> {
+        self.canary_failure = Some(Kind::Timeout);
+        for (id, sent) in &self.batches {
+            for number in sent.items.keys() {
+                self.shards.failed(*number, *id, Kind::Timeout);
+            }
+        }
+        self.cancel_all()
+    }
+
+    fn cancel_all(&mut self) -> Vec<Step> {
         let batches = std::mem::take(&mut self.batches);
         let cancel = |(id, sent): (BatchId, Sent)| {
             Step::Cancel(sent.peer, id, sent.items.into_keys().collect())
@@ -252,7 +281,7 @@
         if Instant::now() >= self.ask.end {
             return Err(kind);
         }
-        let target = self.choose(current, shard)?;
+        let target = self.shards.choose(current, &self.ask.group, shard)?;
         let allowed = self.group.lock().try_retry(&mut self.retries, kind);
         if allowed { Ok(target) } else { Err(kind) }
     }
@@ -276,7 +305,9 @@
         let mut chosen = Vec::new();
         for (number, elapsed) in late {
             let Some(copies) = self.shards.copies(number) else { continue };
-            let Ok(target) = self.choose(&current, number) else { continue };
+            let Ok(target) = self.shards.choose(&current, &self.ask.group, number) else {
+                continue;
+            };
             if self.group.lock().try_hedge(copies, elapsed, now) {
                 chosen.push((number, target));
             }
@@ -284,36 +315,6 @@
         self.send(&current, chosen, Cause::Hedge)
     }
 
-    /// A usable target of the shard that was not asked yet, or why there is none.
-    fn choose(&mut self, current: &Current, number: u32) -> Result<TargetKey, Kind> {
-        let view = &current.view;
-        let group = view.group(&self.ask.group);
-        let version = self.shards.version();
-        let version = group.and_then(|it| it.versions.iter().find(|it| it.number == version));
-        let replicas = version.and_then(|it| it.shards.get(number as usize));
-        let replicas = replicas.map_or(&[][..], Vec::as_slice);
-        let usable: Vec<TargetKey> = replicas
-            .iter()
-            .copied()
-            .filter(|it| view.target(*it).usable && view.target(*it).owner.is_some())
-            .collect();
-        let shard = self.shards.get_mut(number);
-        if usable.is_empty() {
-            let kind = if replicas.is_empty() { Kind::NoTarget } else { Kind::Draining };
-            shard.lost = true;
-            return Err(shard.reason(kind));
-        }
-        let untried: Vec<TargetKey> = usable
-            .into_iter()
-            .filter(|it| {
-                let target = view.target(*it);
-                let owner = target.owner.map(|it| view.node(it).incarnation);
-                !shard.tried.iter().any(|it| it.target == target.name && Some(it.owner) == owner)
-            })
-            .collect();
-        current.pick(&untried).ok_or_else(|| shard.reason(Kind::NoTarget))
-    }
-
     /// Groups sub-requests by owner. The lease is checked here, at the last step before the send.
     fn send(
         &mut self,
@@ -366,14 +367,15 @@
         }
         let delay = self.group.lock().hedge_delay(now);
         let longest = Duration::from_millis(self.host.parts.cfg.max_sub_request_ms);
-        let left = self.ask.end.saturating_duration_since(now).min(longest);
         let canary = self.mode == Mode::Canary;
+        let end = if canary { self.canary_end } else { self.ask.end };
+        let left = end.saturating_duration_since(now).min(longest);
         let partial_after = if canary { left } else { delay };
         let version = self.shards.version();
         let batch = step::batch(&self.ask, id, version, &items, left, partial_after);
         let batch = Batch { canary, ..batch };
         let peer = Arc::new(Peer::from(node));
-        let sent = Sent { peer: peer.clone(), at: now, hedge_at: now + delay, items };
+        let sent = Sent::new(peer.clone(), now, now + delay, items);
         self.batches.insert(id, sent);
         Step::Exec(peer, Box::new(batch))
     }
@@ -383,10 +385,10 @@
     /// Cancels what still runs when the caller went away.
     fn drop(&mut self) {
         let steps = self.stop();
-        if steps.is_empty() {
-            return;
+        let Ok(runtime) = Handle::try_current() else { return };
+        if !steps.is_empty() {
+            let host = self.host.clone();
+            runtime.spawn(async move { drive::cancel(&host, steps).await });
         }
-        let host = self.host.clone();
-        tokio::spawn(async move { super::drive::cancel(&host, steps).await });
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod owners;
 mod poll;
 mod query;
+mod replica;
 mod reply;
 mod serve;
 mod shard;
--- a/src/entry/step.rs
+++ b/src/entry/step.rs
@@ -8,15 +8,20 @@
 
 use crate::{
     entry::{owners::Peer, query::Ask},
+    error::{Kind, Outcome},
     wire::owner::{Batch, BatchId, Item},
 };
 
+/// The pause before the next collect after one that brought nothing new, so that an owner that answers at once without
+/// results costs little.
+const EMPTY_PAUSE: Duration = Duration::from_millis(5);
+
 /// A message to an owner.
 pub(super) enum Step {
     /// Runs a batch.
     Exec(Arc<Peer>, Box<Batch>),
-    /// Waits for the rest of a batch.
-    Collect(Arc<Peer>, BatchId, Duration),
+    /// Waits for the rest of a batch, after a pause.
+    Collect { peer: Arc<Peer>, id: BatchId, pause: Duration, wait: Duration },
     /// Cancels shards of a batch.
     Cancel(Arc<Peer>, BatchId, Vec<u32>),
 }
@@ -28,6 +33,36 @@
     /// When its late sub-requests are hedged.
     pub(super) hedge_at: Instant,
     pub(super) items: BTreeMap<u32, String>,
+    /// How many sub-requests were left when the last collect was sent.
+    collecting: Option<usize>,
+}
+
+impl Sent {
+    pub(super) fn new(
+        peer: Arc<Peer>,
+        at: Instant,
+        hedge_at: Instant,
+        items: BTreeMap<u32, String>,
+    ) -> Self {
+        Self { peer, at, hedge_at, items, collecting: None }
+    }
+
+    /// Asks for the rest.
+    pub(super) fn collect(&mut self, id: BatchId, wait: Duration) -> Step {
+        let nothing_new = self.collecting == Some(self.items.len());
+        self.collecting = Some(self.items.len());
+        let pause = if nothing_new { EMPTY_PAUSE } else { Duration::ZERO };
+        Step::Collect { peer: self.peer.clone(), id, pause, wait }
+    }
+
+    /// How the sub-requests end if the call fails this way. Once the batch has arrived they may have run, whatever the
+    /// call says.
+    pub(super) fn failure(&self, kind: Kind) -> Kind {
+        if self.collecting.is_some() && kind.outcome() == Outcome::NotRun {
+            return Kind::Disconnected;
+        }
+        kind
+    }
 }
 
 /// A batch of these sub-requests.
@@ -52,7 +87,8 @@
         fingerprint: ask.fingerprint,
         canary: false,
         deadline_ms: left.as_millis() as u64,
-        partial_after_ms: partial_after.as_millis().max(1) as u64,
+        // Rounded up, so that late sub-requests are due for a hedge when the report arrives.
+        partial_after_ms: partial_after.as_micros().div_ceil(1_000).max(1) as u64,
         items: items.iter().map(item).collect(),
     }
 }
--- /dev/null
+++ b/tests/entry/control.rs
@@ -0,0 +1,155 @@
+//! A stand-in for the control hosts: one process-wide copy of the tables, served by the real wire protocol.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use futures::StreamExt;
+use gentianpass::{
+    error::{Error, Kind},
+    event::unix_ms,
+    state::{Change, Entry, Reply, Revision, Tables},
+    wire::control::{Applied, Poll, Service, Submit, Update},
+};
+use parking_lot::Mutex;
+use tarpc::{
+    context::Context,
+    serde_transport::tcp,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+};
+use tokio::sync::watch;
+
+/// What happens to a change on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    None,
+    /// The change is committed and its reply is lost.
+    Reply,
+    /// The change does not arrive.
+    Request,
+}
+
+type LossRule = dyn Fn(&Change) -> Loss + Send + Sync;
+
+#[derive(Clone)]
+pub struct Control {
+    pub addr: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    tables: Mutex<Tables>,
+    log: Mutex<Vec<Applied>>,
+    revision: watch::Sender<Revision>,
+    silent: watch::Sender<bool>,
+    loss: Mutex<Box<LossRule>>,
+    /// Answers polls with a gap in the changes.
+    gap: Mutex<bool>,
+}
+
+impl Control {
+    pub async fn start() -> Self {
+        let listener = tcp::listen("127.0.0.1:0", Bincode::default).await.expect("listener");
+        let addr = listener.local_addr();
+        let shared = Arc::new(Shared {
+            tables: Mutex::default(),
+            log: Mutex::default(),
+            revision: watch::Sender::new(0),
+            silent: watch::Sender::new(false),
+            loss: Mutex::new(Box::new(|_| Loss::None)),
+            gap: Mutex::new(false),
+        });
+        let control = Self { addr, shared };
+        let server = control.clone();
+        tokio::spawn(listener.filter_map(|it| async { it.ok() }).for_each(move |it| {
+            let calls = BaseChannel::with_defaults(it).execute(server.clone().serve());
+            tokio::spawn(calls.for_each(|call| async {
+                tokio::spawn(call);
+            }));
+            async {}
+        }));
+        control
+    }
+
+    /// Applies a change as an operator or a target does it.
+    pub fn change(&self, change: Change) -> Reply {
+        let base = Some(self.tables(|it| it.config.operator_revision));
+        self.apply(Submit { id: rand::random(), base, change })
+    }
+
+    /// Applies an operator's change that must be accepted.
+    pub fn accept(&self, change: Change) {
+        let reply = self.change(change);
+        assert!(matches!(reply, Reply::Applied { .. }), "{reply:?}");
+    }
+
+    pub fn tables<T>(&self, read: impl FnOnce(&Tables) -> T) -> T {
+        read(&self.shared.tables.lock())
+    }
+
+    /// Calls get no answer while this is set.
+    pub fn silence(&self, silent: bool) {
+        self.shared.silent.send_replace(silent);
+    }
+
+    pub fn lose(&self, loss: impl Fn(&Change) -> Loss + Send + Sync + 'static) {
+        *self.shared.loss.lock() = Box::new(loss);
+    }
+
+    /// Leaves out a change in the next answer to a poll that has several.
+    pub fn leave_gap(&self) {
+        *self.shared.gap.lock() = true;
+    }
+
+    fn apply(&self, submit: Submit) -> Reply {
+        let mut tables = self.shared.tables.lock();
+        let before = tables.config.revision;
+        let Submit { id, base, change } = submit;
+        let entry = Entry { id, base, at_ms: unix_ms(), change };
+        let reply = tables.apply(&entry);
+        let revision = tables.config.revision;
+        if revision > before {
+            let applied = Applied { revision, at_ms: entry.at_ms, change: entry.change };
+            self.shared.log.lock().push(applied);
+            self.shared.revision.send_replace(revision);
+        }
+        reply
+    }
+
+    async fn answering(&self) {
+        let _ = self.shared.silent.subscribe().wait_for(|it| !*it).await;
+    }
+}
+
+impl Service for Control {
+    async fn poll(self, _: Context, poll: Poll) -> Result<Update, Error> {
+        self.answering().await;
+        let mut revision = self.shared.revision.subscribe();
+        let newer = revision.wait_for(|it| *it > poll.revision);
+        let _ = tokio::time::timeout(Duration::from_millis(poll.wait_ms), newer).await;
+        self.answering().await;
+        if poll.revision == 0 {
+            return Ok(Update::Config(Box::new(self.tables(|it| it.config.clone()))));
+        }
+        let log = self.shared.log.lock();
+        let mut changes: Vec<_> =
+            log.iter().filter(|it| it.revision > poll.revision).cloned().collect();
+        if changes.len() > 1 && std::mem::take(&mut *self.shared.gap.lock()) {
+            changes.remove(0);
+        }
+        Ok(Update::Changes(changes))
+    }
+
+    async fn submit(self, _: Context, submit: Submit) -> Result<Reply, Error> {
+        self.answering().await;
+        let lost = || Error::new(Kind::NoQuorum, "lost by the test");
+        let loss = (self.shared.loss.lock())(&submit.change);
+        match loss {
+            Loss::None => Ok(self.apply(submit)),
+            Loss::Request => Err(lost()),
+            Loss::Reply => {
+                self.apply(submit);
+                Err(lost())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/entry/main.rs
@@ -0,0 +1,6 @@
+//! The entry host: input, leases, queries, dispatch, announcements and the planned stop.
+
+mod control;
+mod input;
+mod owners;
+mod support;
