Test queries of the entry host against a naive evaluation

Cause: a root that mixes versions or claims coverage it does not have must not pass. Change: scripted owners that lose, delay, repeat and misdirect sub-answers; random runs while targets drain and change versions; crashing requests from two hosts. The third target of a canary now needs a poll that is sent at once instead of the next regular one, because 100 ms polls ate the deadline of refused queries.

--- a/src/entry/canary.rs
+++ b/src/entry/canary.rs
@@ -12,8 +12,8 @@
     state::{TargetKey, View},
 };
 
-/// How many targets a request may have reached without an answer before it is stopped.
-const MAX_EXPOSED: u32 = 2;
+/// How many targets a request may crash before it is stopped.
+const MAX_CRASHES: usize = 2;
 
 /// How many targets are tried in all; the others refused the request before it ran.
 const MAX_ATTEMPTS: usize = 4;
@@ -22,7 +22,13 @@
 pub(super) async fn run<O: Owners>(host: &Arc<Host<O>>, ask: &Ask, fan: &mut Fan<O>) -> Result<()> {
     let mut exposed = 0;
     let mut last = Kind::NoTarget;
-    for (shard, target) in order(host, ask, fan).into_iter().take(MAX_ATTEMPTS) {
+    let order = order(host, ask, fan).into_iter().take(MAX_ATTEMPTS);
+    for (position, (shard, target)) in order.enumerate() {
+        // The first two targets may crash. No host sends the request to another one before a poll that began after the
+        // last failure has shown that it is not blocked.
+        if position >= MAX_CRASHES && !fresh(host, ask).await? {
+            break;
+        }
         host.check_lease()?;
         let Some(key) = host.view().target_key(&target) else { continue };
         let steps = fan.canary(shard, key);
@@ -41,14 +47,9 @@
             Rule::GiveUp => break,
         }
         check(host, ask.fingerprint)?;
-        if exposed >= MAX_EXPOSED || Instant::now() >= ask.end {
+        if exposed >= MAX_CRASHES || Instant::now() >= ask.end {
             break;
         }
-        // Another host's canary may have crashed targets meanwhile. The third target of a request is only asked after a
-        // poll that began after the last failure has shown that the request is not blocked.
-        if fan.canaries() >= MAX_EXPOSED {
-            fresh(host, ask).await?;
-        }
     }
     Err(Error::new(last, "no target answered the first sub-request of this new request"))
 }
@@ -62,17 +63,15 @@
     Err(Error::new(Kind::Quarantined, "the request has crashed targets"))
 }
 
-/// Waits for a poll that is sent from now on.
-async fn fresh<O: Owners>(host: &Host<O>, ask: &Ask) -> Result<()> {
+/// Waits for a poll that is sent from now on. Returns whether it was confirmed in time.
+async fn fresh<O: Owners>(host: &Host<O>, ask: &Ask) -> Result<bool> {
     let now = Instant::now();
     let mut confirmed = host.confirmed.subscribe();
+    host.poll_now.notify_one();
     let wait = confirmed.wait_for(|it| it.is_some_and(|sent| sent > now));
-    let waited = tokio::time::timeout_at(ask.end.into(), wait).await;
+    let confirmed = tokio::time::timeout_at(ask.end.into(), wait).await.is_ok();
     check(host, ask.fingerprint)?;
-    if waited.is_err() {
-        return Err(Error::new(Kind::NoLease, "the configuration could not be confirmed"));
-    }
-    Ok(())
+    Ok(confirmed)
 }
 
 /// The targets in the order in which they may run the canary, each with a shard that it holds.
--- a/src/entry/fan.rs
+++ b/src/entry/fan.rs
@@ -49,7 +49,6 @@
     batches: HashMap<BatchId, Sent>,
     retries: QueryRetries,
     group: Arc<Mutex<Group>>,
-    canaries: u32,
     canary_failure: Option<Kind>,
     canary_end: Instant,
     /// Sub-answers that nobody asked for.
@@ -67,7 +66,6 @@
             shards: Shards::new(version, total),
             mode: Mode::Full,
             batches: HashMap::new(),
-            canaries: 0,
             canary_failure: None,
             canary_end: ask.end,
             foreign: 0,
@@ -87,11 +85,6 @@
         self.shards.take_rows()
     }
 
-    /// How many canary requests were sent.
-    pub(super) fn canaries(&self) -> u32 {
-        self.canaries
-    }
-
     /// Why the last canary request failed, if it did.
     pub(super) fn canary_failure(&self, shard: u32) -> Option<Kind> {
         self.canary_failure.or_else(|| self.shards.failure(shard))
@@ -105,7 +98,6 @@
     /// Sends the canary request of a new fingerprint.
     pub(super) fn canary(&mut self, shard: u32, target: TargetKey) -> Vec<Step> {
         self.mode = Mode::Canary;
-        self.canaries += 1;
         self.canary_failure = None;
         // A canary without an answer leaves the other half of the time to a second one and to the query itself.
         let now = Instant::now();
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -10,7 +10,7 @@
 
 use parking_lot::{Mutex, RwLock};
 use rand::random;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     control,
@@ -118,6 +118,8 @@
     pub(super) gate: Gate,
     pub(super) metrics: Metrics,
     pub(super) policy: super::decide::Policy,
+    /// Asks for a poll at once.
+    pub(super) poll_now: Notify,
     /// When the last confirmed poll was sent.
     pub(super) confirmed: watch::Sender<Option<Instant>>,
     current: RwLock<Arc<Current>>,
@@ -134,6 +136,7 @@
             parts,
             owners,
             gate: Gate::default(),
+            poll_now: Notify::new(),
             confirmed: watch::Sender::new(None),
             next_batch: AtomicU32::new(0),
             batch_prefix: random(),
--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -187,6 +187,9 @@
                     Err(err) if polls.is_empty() => break Err(err),
                     Err(_) => {}
                 },
+                () = host.poll_now.notified() => {
+                    polls.push(self.poll(0, poll(Duration::ZERO)));
+                }
                 () = &mut second, if !sent_second => {
                     sent_second = true;
                     polls.push(self.poll(1, poll(Duration::ZERO)));
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -3,4 +3,5 @@
 mod control;
 mod input;
 mod owners;
+mod query;
 mod support;
--- /dev/null
+++ b/tests/entry/query.rs
@@ -0,0 +1,337 @@
+//! Answers of queries: one version, true coverage, no foreign rows.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use gentianpass::{
+    error::{Kind, Outcome},
+    event,
+    state::Change,
+    wire::caller::{Answer, Row},
+};
+use proptest::{prelude::*, test_runner::Config};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    owners::{Reply, Timed, rows},
+    support::{Entry, control, set_label, target, until},
+};
+
+const NOW: Duration = Duration::ZERO;
+
+/// The rows of an answer by a naive evaluation of the shards that it claims to cover.
+fn naive(answer: &Answer, text: &str) -> Vec<Row> {
+    let missing: Vec<u32> = answer.missing.iter().map(|it| it.shard).collect();
+    let covered = (0..answer.total).filter(|it| !missing.contains(it));
+    let mut all: Vec<Row> = covered.flat_map(|it| rows(answer.version, it, text)).collect();
+    all.sort();
+    all
+}
+
+fn check(answer: &Answer, text: &str) {
+    assert_eq!(answer.rows, naive(answer, text), "{answer:?}");
+    assert_eq!(answer.covered as usize + answer.missing.len(), answer.total as usize);
+    assert_eq!(answer.outcome, Outcome::Done);
+}
+
+/// Guards against a shard that an answer claims to cover although its sub-answer was lost, late, for another shard,
+/// refused or malformed, and against a missing shard that has an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn coverage() {
+    let control = control(8, 1).await;
+    let entry = Entry::start(&control, "entry-1").await;
+    let replies = [
+        (Reply::Rows, None),
+        (Reply::Twice, None),
+        (Reply::Lost, Some(Kind::BadAnswer)),
+        (Reply::Never, Some(Kind::Timeout)),
+        (Reply::Foreign, Some(Kind::Timeout)),
+        (Reply::Fail(Kind::Shed), Some(Kind::Shed)),
+        (Reply::Fail(Kind::BadAnswer), Some(Kind::BadAnswer)),
+        (Reply::Fail(Kind::Disconnected), Some(Kind::Disconnected)),
+    ];
+    entry.fleet.script(move |batch, item| {
+        let all = if batch.canary { Reply::Rows } else { replies[item.shard as usize].0 };
+        (NOW, all)
+    });
+    for i in 0..20 {
+        let text = format!("name {i}");
+        let answer = entry.query(&text, 400).await.answer();
+        check(&answer, &text);
+        let found: HashMap<u32, Kind> =
+            answer.missing.iter().map(|it| (it.shard, it.reason)).collect();
+        let canary = entry.fleet.batches().into_iter().find(|it| it.canary && it.text == text);
+        let canary = canary.expect("a new text has a canary").items[0].shard;
+        for (shard, (_, reason)) in (0..).zip(replies) {
+            let expected = reason.filter(|_| shard != canary);
+            assert_eq!(found.get(&shard).copied(), expected, "shard {shard}");
+        }
+    }
+    let events = entry.events().await;
+    assert!(events.iter().any(|it| it.kind == event::Kind::ShardMissing));
+}
+
+/// Guards against `not_run` for a query that may have run, and against an empty answer for one without any coverage.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_coverage() {
+    let control = control(4, 2).await;
+    let entry = Entry::start(&control, "entry-1").await;
+    let table = [
+        (Reply::Fail(Kind::Overloaded), Kind::Overloaded, Outcome::NotRun),
+        (Reply::Fail(Kind::Disconnected), Kind::Disconnected, Outcome::Unknown),
+        (Reply::Never, Kind::Timeout, Outcome::Unknown),
+    ];
+    for (reply, kind, outcome) in table {
+        entry.fleet.script(move |_, _| (NOW, reply));
+        let failure = entry.query(&format!("{reply:?}"), 300).await.failure();
+        assert_eq!(failure, (kind, outcome), "{reply:?}");
+    }
+}
+
+/// Guards against a failed sub-request that is not sent to another replica, and against one that is sent to a replica
+/// twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn retry_on_replica() {
+    let control = control(6, 3).await;
+    let entry = Entry::start(&control, "entry-1").await;
+    let kinds = [Kind::Shed, Kind::NotOwner, Kind::Disconnected, Kind::BadAnswer];
+    entry.fleet.script(move |batch, item| {
+        let kind = kinds[item.shard as usize % kinds.len()];
+        let (first, second) = (item.target.ends_with("-0"), item.target.ends_with("-1"));
+        // At most six retries, the limit of a query with six shards.
+        let fails = !batch.canary && (first && item.shard < 4 || second && item.shard < 2);
+        (NOW, if fails { Reply::Fail(kind) } else { Reply::Rows })
+    });
+    for i in 0..10 {
+        let text = format!("name {i}");
+        let answer = entry.query(&text, 2_000).await.answer();
+        check(&answer, &text);
+        assert_eq!(answer.covered, 6, "{:?}", answer.missing);
+        let mut asked: BTreeMap<String, u32> = BTreeMap::new();
+        let batches = entry.fleet.batches().into_iter().filter(|it| it.text == text);
+        for item in batches.flat_map(|it| it.items) {
+            *asked.entry(item.target).or_default() += 1;
+        }
+        assert!(asked.values().all(|it| *it == 1), "{asked:?}");
+    }
+}
+
+/// Guards against a straggler that delays the answer although another replica is idle, and against a slower copy that
+/// keeps running or whose answer is used twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn hedge() {
+    let control = control(10, 2).await;
+    let entry = Entry::start(&control, "entry-1").await;
+    entry.fleet.script(|batch, item| {
+        let straggles = !batch.canary && batch.items.len() > 1 && item.shard == 3;
+        (if straggles { Duration::from_secs(5) } else { NOW }, Reply::Rows)
+    });
+    let mut hedged = 0;
+    for i in 0..20 {
+        let text = format!("name {i}");
+        let answer = entry.query(&text, 1_000).await.answer();
+        check(&answer, &text);
+        hedged += u32::from(answer.missing.is_empty());
+    }
+    // The budget starts with 10 tokens, and 3% of 200 sub-requests add up to 6; a canary for shard 3 needs none.
+    assert!((10..=20).contains(&hedged), "{hedged} of 20 hedged");
+    let extra: usize = entry.fleet.batches().iter().map(|it| it.items.len()).sum();
+    assert!(extra <= 200 + 10 + 6, "{extra} sub-requests for 20 queries of 10 shards");
+    until("cancelled", async || entry.fleet.cancelled().len() >= 10).await;
+}
+
+/// Guards against an answer that reaches another request: each request has its own text, and late answers of earlier
+/// ones arrive while later ones run.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_answers() {
+    let control = control(5, 2).await;
+    let entry = Arc::new(Entry::start(&control, "entry-1").await);
+    entry.fleet.script(|batch, item| {
+        let late = Duration::from_millis(60 * (xxh3_64_with_seed(batch.text.as_bytes(), 1) % 4));
+        let reply = [Reply::Rows, Reply::Twice][item.shard as usize % 2];
+        (if batch.canary { NOW } else { late }, reply)
+    });
+    let requests: Vec<_> = (0..60)
+        .map(|i| {
+            let entry = entry.clone();
+            tokio::spawn(async move {
+                let text = format!("name {i}");
+                let answer = entry.query(&text, 150).await.answer();
+                check(&answer, &text);
+                answer.missing.len()
+            })
+        })
+        .collect();
+    let mut missing = 0;
+    for it in requests {
+        missing += it.await.expect("checked");
+    }
+    assert!(missing > 0, "some answers are late");
+}
+
+/// Guards against a query that mixes versions, or gives up shards, when its version loses its last replica.
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_on_version() {
+    let control = control(3, 1).await;
+    let entry = Entry::start(&control, "entry-1").await;
+    for shard in 0..3 {
+        let new = target(&format!("n{shard}"), shard, &[(2, 3)]);
+        control.accept(Change::PutTarget(new));
+    }
+    entry.applied(&control).await;
+    assert_eq!(entry.query("before", 1_000).await.answer().version, 2);
+    let shared = control.clone();
+    entry.fleet.script(move |_, item| {
+        if item.target != "n1" {
+            return (NOW, Reply::Rows);
+        }
+        if shared.tables(|it| it.config.targets["n1"].incarnation == 1) {
+            let mut emptied = target("n1", 1, &[]);
+            emptied.incarnation = 2;
+            shared.accept(Change::PutTarget(emptied));
+        }
+        (Duration::from_millis(200), Reply::Fail(Kind::WrongVersion))
+    });
+    let answer = entry.query("before", 3_000).await.answer();
+    check(&answer, "before");
+    assert_eq!((answer.version, answer.covered), (1, 3), "{answer:?}");
+}
+
+/// Guards against a request that crashes more than two targets, from one host or from two hosts at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_request() {
+    let control = control(6, 3).await;
+    let hosts = [Entry::start(&control, "entry-1").await, Entry::start(&control, "entry-2").await];
+    for host in &hosts {
+        let shared = control.clone();
+        host.fleet.script(move |batch, item| {
+            let (fingerprint, target) = (batch.fingerprint, item.target.clone());
+            shared.change(Change::Suspect { fingerprint, target });
+            (NOW, Reply::Fail(Kind::Disconnected))
+        });
+    }
+    let (a, b) = tokio::join!(hosts[0].query("crash", 3_000), hosts[1].query("crash", 3_000));
+    for (host, response) in hosts.iter().zip([a, b]) {
+        let (kind, outcome) = response.failure();
+        assert!(matches!(kind, Kind::Quarantined | Kind::Disconnected), "{kind}");
+        let sent = !host.fleet.batches().is_empty();
+        assert_eq!(outcome, if sent { Outcome::Unknown } else { Outcome::NotRun });
+    }
+    for host in &hosts {
+        host.applied(&control).await;
+        assert_eq!(
+            host.query("crash", 1_000).await.failure(),
+            (Kind::Quarantined, Outcome::NotRun)
+        );
+    }
+    let batches = hosts.iter().flat_map(|it| it.fleet.batches());
+    let mut targets: Vec<_> = batches.flat_map(|it| it.items).map(|it| it.target).collect();
+    targets.sort();
+    targets.dedup();
+    assert!(targets.len() <= 2, "{targets:?}");
+}
+
+/// Guards against a broad query that takes the place of quick ones, and against a rejection that is not a clean one.
+#[tokio::test(flavor = "multi_thread")]
+async fn admission() {
+    let control = control(2, 1).await;
+    control.accept(set_label("kind/label-search", "class", "broad"));
+    let entry = Arc::new(Entry::start(&control, "entry-1").await);
+    entry.fleet.script(|_, _| (Duration::from_millis(400), Reply::Rows));
+    let requests: Vec<_> = (0..60)
+        .map(|i| {
+            let entry = entry.clone();
+            tokio::spawn(async move { entry.query(&format!("name {i}"), 5_000).await })
+        })
+        .collect();
+    let mut rejected = 0;
+    for it in requests {
+        let response = it.await.expect("answered");
+        if response.status == 429 {
+            assert_eq!(response.failure(), (Kind::Overloaded, Outcome::NotRun));
+            rejected += 1;
+        } else {
+            assert_eq!(response.answer().covered, 2);
+        }
+    }
+    // 64 queries in all, a quarter of them kept for quick ones: 48 broad ones run at once.
+    assert_eq!(rejected, 60 - 48);
+}
+
+/// How the target of a sub-request behaves, the same each time it is asked for this text.
+fn behaviour(seed: u64, target: &str, text: &str) -> Timed {
+    let hash = xxh3_64_with_seed(format!("{target}/{text}").as_bytes(), seed);
+    let after = Duration::from_millis(hash >> 8 & 15);
+    let reply = match hash % 16 {
+        0 => Reply::Never,
+        1 => Reply::Lost,
+        2 => Reply::Foreign,
+        3 => Reply::Fail(Kind::Shed),
+        4 => Reply::Fail(Kind::BadAnswer),
+        5 => Reply::Fail(Kind::NotOwner),
+        6..9 => Reply::Twice,
+        _ => Reply::Rows,
+    };
+    (after, reply)
+}
+
+/// Compares answers with the naive evaluation while targets come, go, drain and change their version.
+async fn random_run(seed: u64) {
+    const SHARDS: u32 = 4;
+    let control = control(SHARDS, 2).await;
+    let entry = Arc::new(Entry::start(&control, "entry-1").await);
+    entry.fleet.script(move |batch, item| behaviour(seed, &item.target, &batch.text));
+    let queries: Vec<_> = (0..24)
+        .map(|i| {
+            let entry = entry.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(10 * i)).await;
+                let text = format!("name {}", i % 8);
+                let response = entry.query(&text, 400).await;
+                if response.status != 200 {
+                    response.failure();
+                    return;
+                }
+                let answer = response.answer();
+                check(&answer, &text);
+                for shard in 0..answer.total {
+                    let replicas = [format!("t{shard}-0"), format!("t{shard}-1")];
+                    let good = |it: &String| {
+                        matches!(behaviour(seed, it, &text).1, Reply::Rows | Reply::Twice)
+                    };
+                    let missing = answer.missing.iter().any(|it| it.shard == shard);
+                    assert!(missing || replicas.iter().any(good), "shard {shard} of {answer:?}");
+                }
+            })
+        })
+        .collect();
+    for step in 0..24 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let hash = xxh3_64_with_seed(&[step], seed);
+        let shard = (hash % u64::from(SHARDS)) as u32;
+        let name = format!("t{shard}-{}", hash >> 8 & 1);
+        let versions = match hash >> 16 & 3 {
+            0 => vec![(1, SHARDS)],
+            1 => vec![(2, SHARDS)],
+            _ => vec![(1, SHARDS), (2, SHARDS)],
+        };
+        let drain = if hash >> 24 & 3 == 0 { "true" } else { "false" };
+        control.change(Change::PutTarget(target(&name, shard, &versions)));
+        control.change(set_label(&format!("target/{name}"), "drain", drain));
+    }
+    for it in queries {
+        it.await.expect("consistent");
+    }
+}
+
+/// Guards against answers that mix index versions or claim coverage they do not have, under any order of failures.
+#[test]
+fn random_behaviour() {
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    proptest!(Config { cases: 12, max_shrink_iters: 0, failure_persistence: None, ..Config::default() }, |(seed: u64)| {
+        runtime.block_on(random_run(seed));
+    });
+}
