--- /dev/null
+++ b/src/lab/dataset.rs
@@ -0,0 +1,262 @@
+//! The data set of the stand-in targets, generated from a seed.
+//!
+//! Each version of an index differs in part from the one before: about one row in ten changes, and about one in
+//! twenty is added and one in twenty removed. An answer that mixes versions therefore differs from each version.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+};
+
+use parking_lot::Mutex;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::{state::Holding, wire::caller::Row};
+
+/// A row keeps its text for this many versions.
+const VERSIONS_PER_TEXT: u64 = 10;
+
+/// A row is absent from one version in this many.
+const VERSIONS_PER_ABSENCE: u64 = 20;
+
+const FIRST_NAMES: [&str; 24] = [
+    "Morag", "Ailsa", "Hamish", "Iona", "Fergus", "Catriona", "Euan", "Isla", "Lachlan", "Eilidh",
+    "Rory", "Mairi", "Angus", "Kirsty", "Callum", "Fiona", "Aino", "Eero", "Helmi", "Onni",
+    "Venla", "Toivo", "Siiri", "Väinö",
+];
+
+const LAST_NAMES: [&str; 32] = [
+    "Sinclair",
+    "Buchanan",
+    "Drummond",
+    "Fraser",
+    "Galbraith",
+    "Innes",
+    "Keith",
+    "Lamont",
+    "Maitland",
+    "Napier",
+    "Ogilvie",
+    "Pringle",
+    "Ramsay",
+    "Scrymgeour",
+    "Tulloch",
+    "Urquhart",
+    "Virtanen",
+    "Korhonen",
+    "Mäkinen",
+    "Nieminen",
+    "Laine",
+    "Heikkinen",
+    "Koskinen",
+    "Järvinen",
+    "Lehtonen",
+    "Saarinen",
+    "Salminen",
+    "Heinonen",
+    "Niemi",
+    "Kallio",
+    "Hakala",
+    "Ahonen",
+];
+
+const CUSTOMERS: [&str; 8] = [
+    "Abertay Primary",
+    "Broughty Library",
+    "Camperdown Works",
+    "Dens Road Surgery",
+    "Eastgate School",
+    "Fintry Nursery",
+    "Glenisla House",
+    "Harbour Office",
+];
+
+const VENUES: [&str; 8] = [
+    "Hatanpaa Manor",
+    "Kaisaniemi Hall",
+    "Lepaa Chapel",
+    "Meri Hotel",
+    "Nallikari Pavilion",
+    "Oulu Cathedral",
+    "Pyynikki Tower",
+    "Suomenlinna Church",
+];
+
+/// What the rows of an index describe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Content {
+    /// Labels of pigeonholes: name, rack, slot, customer.
+    Labels,
+    /// Proofs of wedding albums: couple, date, venue.
+    Proofs,
+}
+
+impl Content {
+    /// Indexes whose names start with `proof` hold proofs, all others labels.
+    pub fn of(index: &str) -> Self {
+        if index.starts_with("proof") { Self::Proofs } else { Self::Labels }
+    }
+}
+
+/// A source of rows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Dataset {
+    /// The seed that determines all rows.
+    pub seed: u64,
+    /// About how many rows each version has.
+    pub rows: u64,
+}
+
+impl Dataset {
+    /// All rows of a version, sorted by id.
+    pub fn version(&self, index: &str, version: u64) -> impl Iterator<Item = Row> {
+        let index_seed = xxh3_64_with_seed(index.as_bytes(), self.seed);
+        let content = Content::of(index);
+        let ids = self.rows + self.rows / (VERSIONS_PER_ABSENCE - 1);
+        (0..ids).filter_map(move |id| {
+            let hash = draw(index_seed, id, 0);
+            if (version + hash).is_multiple_of(VERSIONS_PER_ABSENCE) {
+                return None;
+            }
+            let text =
+                (version + hash / VERSIONS_PER_ABSENCE % VERSIONS_PER_TEXT) / VERSIONS_PER_TEXT;
+            Some(Row { id, text: row_text(content, index_seed, id, text) })
+        })
+    }
+
+    /// A text that finds a few rows, chosen by a number.
+    pub fn narrow_text(&self, index: &str, number: u64) -> String {
+        let index_seed = xxh3_64_with_seed(index.as_bytes(), self.seed);
+        let hash = draw(index_seed, number % self.rows, 1);
+        format!("{} {}", pick(&FIRST_NAMES, hash), pick(&LAST_NAMES, hash >> 16))
+    }
+
+    /// A text that finds many rows, chosen by a number.
+    pub fn broad_text(&self, index: &str, number: u64) -> String {
+        match Content::of(index) {
+            Content::Labels => pick(&CUSTOMERS, number).to_owned(),
+            Content::Proofs => format!("2026 {}", pick(&VENUES, number)),
+        }
+    }
+}
+
+/// The shard of a row.
+pub fn shard_of(id: u64, shards: u32) -> u32 {
+    (xxh3_64(&id.to_le_bytes()) % u64::from(shards)) as u32
+}
+
+/// The words of a text, in lower case.
+pub fn words(text: &str) -> impl Iterator<Item = String> {
+    text.split(|c: char| !c.is_alphanumeric()).filter(|it| !it.is_empty()).map(str::to_lowercase)
+}
+
+/// Name and first words of a row stay over its lifetime, so that a changed row still answers the same query.
+fn row_text(content: Content, index_seed: u64, id: u64, text: u64) -> String {
+    let hash = draw(index_seed, id, 1);
+    let changing = draw(index_seed, id, text + 2);
+    let first = pick(&FIRST_NAMES, hash);
+    let last = pick(&LAST_NAMES, hash >> 16);
+    match content {
+        Content::Labels => {
+            let rack = changing % 90 + 1;
+            let slot = (changing >> 16) % 400 + 1;
+            format!(
+                "{first} {last} | rack R{rack} | slot {slot} | {}",
+                pick(&CUSTOMERS, hash >> 32)
+            )
+        }
+        Content::Proofs => {
+            let other = pick(&FIRST_NAMES, hash >> 32);
+            let (month, day) = (changing % 12 + 1, (changing >> 16) % 28 + 1);
+            let venue = pick(&VENUES, hash >> 48);
+            format!("{first} {last} and {other} | 2026-{month:02}-{day:02} | {venue}")
+        }
+    }
+}
+
+fn draw(seed: u64, id: u64, salt: u64) -> u64 {
+    let mut buf = [0; 16];
+    buf[..8].copy_from_slice(&id.to_le_bytes());
+    buf[8..].copy_from_slice(&salt.to_le_bytes());
+    xxh3_64_with_seed(&buf, seed)
+}
+
+fn pick<'a>(from: &[&'a str], hash: u64) -> &'a str {
+    from[(hash % from.len() as u64) as usize]
+}
+
+/// One shard with an inverted index of its words.
+#[derive(Debug, Default)]
+pub struct Shard {
+    rows: Vec<Row>,
+    words: HashMap<String, Vec<u32>>,
+}
+
+impl Shard {
+    /// Indexes these rows.
+    pub fn new(rows: Vec<Row>) -> Self {
+        let mut index: HashMap<String, Vec<u32>> = HashMap::new();
+        for (i, row) in rows.iter().enumerate() {
+            for word in words(&row.text).collect::<BTreeSet<_>>() {
+                index.entry(word).or_default().push(i as u32);
+            }
+        }
+        Self { rows, words: index }
+    }
+
+    /// The rows in which all words of the text occur, sorted by id.
+    pub fn search(&self, text: &str) -> Vec<Row> {
+        let mut lists = Vec::new();
+        for word in words(text) {
+            let Some(list) = self.words.get(&word) else { return Vec::new() };
+            lists.push(list.as_slice());
+        }
+        lists.sort_by_key(|it| it.len());
+        let Some((shortest, others)) = lists.split_first() else { return self.rows.clone() };
+        shortest
+            .iter()
+            .filter(|i| others.iter().all(|it| it.binary_search(i).is_ok()))
+            .map(|&i| self.rows[i as usize].clone())
+            .collect()
+    }
+}
+
+/// Shards that were generated before, shared by the targets of a process.
+pub struct Library {
+    dataset: Dataset,
+    versions: Mutex<HashMap<Layout, Arc<Vec<Arc<Shard>>>>>,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct Layout {
+    index: String,
+    version: u64,
+    shards: u32,
+}
+
+impl Library {
+    /// Makes a library that has generated nothing yet.
+    pub fn new(dataset: Dataset) -> Self {
+        Self { dataset, versions: Mutex::default() }
+    }
+
+    /// The shard that a target holds.
+    pub fn shard(&self, holding: &Holding) -> Option<Arc<Shard>> {
+        let layout = Layout {
+            index: holding.index.clone(),
+            version: holding.version,
+            shards: holding.shards,
+        };
+        let mut versions = self.versions.lock();
+        let shards = versions.entry(layout).or_insert_with(|| Arc::new(self.generate(holding)));
+        shards.get(holding.shard as usize).cloned()
+    }
+
+    fn generate(&self, holding: &Holding) -> Vec<Arc<Shard>> {
+        let mut rows = vec![Vec::new(); holding.shards as usize];
+        for row in self.dataset.version(&holding.index, holding.version) {
+            rows[shard_of(row.id, holding.shards) as usize].push(row);
+        }
+        rows.into_iter().map(|it| Arc::new(Shard::new(it))).collect()
+    }
+}
--- /dev/null
+++ b/src/lab/target/gate.rs
@@ -0,0 +1,134 @@
+//! The capacity of a stand-in target: slots, cold start, overload.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+
+use crate::{error::Kind, lab::target::fault::TargetStats, settings::TargetSpec};
+
+/// How long a cold target that was overloaded stays slow.
+const COLLAPSE: Duration = Duration::from_millis(2_000);
+
+/// How much slower it is meanwhile.
+const COLLAPSE_FACTOR: f64 = 10.0;
+
+/// What a target does with requests above its limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Excess {
+    /// Takes them and becomes slower.
+    Accept,
+    /// Refuses them.
+    Shed,
+}
+
+struct State {
+    running: u32,
+    warm_at: Instant,
+    collapsed_until: Option<Instant>,
+    excess: Excess,
+    max_concurrent: u32,
+    overload: u64,
+    collapses: u64,
+}
+
+/// Counts the running requests of one target.
+pub struct Gate {
+    slots: u32,
+    warm_up: u32,
+    warm_after: Duration,
+    state: Mutex<State>,
+}
+
+/// A running request; ends when it is dropped.
+pub struct Running(Arc<Gate>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.state.lock().running -= 1;
+    }
+}
+
+impl Gate {
+    /// A cold target.
+    pub fn new(spec: &TargetSpec, now: Instant) -> Self {
+        let warm_after = Duration::from_millis(spec.warm_after_ms);
+        let state = State {
+            running: 0,
+            warm_at: now + warm_after,
+            collapsed_until: None,
+            excess: Excess::Accept,
+            max_concurrent: 0,
+            overload: 0,
+            collapses: 0,
+        };
+        let warm_up = spec.warm_up.min(spec.slots);
+        Self { slots: spec.slots, warm_up, warm_after, state: Mutex::new(state) }
+    }
+
+    /// Starts a request, or refuses it.
+    pub fn enter(self: &Arc<Self>, now: Instant) -> Result<Running, Kind> {
+        let mut state = self.state.lock();
+        if state.running >= self.limit_at(&state, now) {
+            if state.excess == Excess::Shed {
+                return Err(Kind::Shed);
+            }
+            state.overload += 1;
+            if now < state.warm_at {
+                state.collapses += u64::from(state.collapsed_until.is_none_or(|it| it <= now));
+                state.collapsed_until = Some(now + COLLAPSE);
+                state.warm_at = now + COLLAPSE + self.warm_after;
+            }
+        }
+        state.running += 1;
+        state.max_concurrent = state.max_concurrent.max(state.running);
+        Ok(Running(self.clone()))
+    }
+
+    /// How much slower than normal the target is now.
+    pub fn factor(&self, now: Instant) -> f64 {
+        let state = self.state.lock();
+        let load = f64::from(state.running) / f64::from(self.limit_at(&state, now));
+        let collapsed = state.collapsed_until.is_some_and(|it| now < it);
+        load.max(1.0) * if collapsed { COLLAPSE_FACTOR } else { 1.0 }
+    }
+
+    /// Whether the target is cold.
+    pub fn cold(&self, now: Instant) -> bool {
+        now < self.state.lock().warm_at
+    }
+
+    /// How many requests run.
+    pub fn running(&self) -> u32 {
+        self.state.lock().running
+    }
+
+    /// Makes the target cold.
+    pub fn turn_cold(&self, now: Instant) {
+        let mut state = self.state.lock();
+        state.warm_at = now + self.warm_after;
+        state.collapsed_until = None;
+    }
+
+    /// Sets what happens to requests above the limit.
+    pub fn set_excess(&self, excess: Excess) {
+        self.state.lock().excess = excess;
+    }
+
+    /// Copies the counters.
+    pub fn read(&self, stats: &mut TargetStats, now: Instant) {
+        let state = self.state.lock();
+        stats.cold = now < state.warm_at;
+        stats.limit = self.limit_at(&state, now);
+        stats.running = state.running;
+        stats.max_concurrent = state.max_concurrent;
+        stats.overload = state.overload;
+        stats.collapses = state.collapses;
+    }
+
+    fn limit_at(&self, state: &State, now: Instant) -> u32 {
+        if now < state.warm_at { self.warm_up } else { self.slots }
+    }
+}
--- /dev/null
+++ b/src/lab/target/host.rs
@@ -0,0 +1,376 @@
+//! One stand-in target: its listener, its connections, its crashes.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    service::TowerToHyperService,
+};
+use parking_lot::Mutex;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use rand_distr::{Distribution, LogNormal};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Notify, watch},
+    task::JoinSet,
+};
+use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    event::unix_ms,
+    lab::{
+        dataset::{Library, Shard},
+        target::{
+            conn::Conn,
+            fault::{Damage, Fault, Lie, TargetStats},
+            gate::{Excess, Gate},
+            serve,
+        },
+    },
+    settings::TargetSpec,
+    state::{Holding, Phase, Target},
+    wire::target::Announcement,
+};
+
+/// Spread of the service times: the 99th percentile is twice the median.
+const SERVICE_SIGMA: f64 = 0.3;
+
+/// The pause before a listener that could not be opened is tried again.
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// Switches that faults turn.
+pub struct Switches {
+    pub(super) slow: f64,
+    pub(super) straggle: (u64, f64),
+    pub(super) crash_on: Option<(String, u64)>,
+    pub(super) announce: bool,
+    pub(super) leaving: Option<Instant>,
+    pub(super) damage: Option<Damage>,
+    pub(super) lie: Option<Lie>,
+    down: bool,
+    back_after_ms: u64,
+}
+
+/// What the handlers count.
+#[derive(Default)]
+pub struct Counters {
+    pub(super) received: u64,
+    pub(super) started: u64,
+    pub(super) finished: u64,
+    pub(super) refused: u64,
+    pub(super) dropped: u64,
+    pub(super) after_leave: u64,
+    pub(super) since_mark: u64,
+    pub(super) last_received_ms: u64,
+    pub(super) last_service_us: u64,
+    pub(super) announced: u64,
+    pub(super) runs: BTreeMap<String, u32>,
+    connections: u32,
+    max_connections: u32,
+    connections_refused: u64,
+    crashes: u64,
+}
+
+/// One stand-in target.
+pub struct Host {
+    /// What the settings say about it.
+    pub spec: TargetSpec,
+    /// The address of its listener.
+    pub addr: SocketAddr,
+    pub(super) gate: Arc<Gate>,
+    pub(super) switches: Mutex<Switches>,
+    pub(super) counters: Mutex<Counters>,
+    pub(super) cancels: Mutex<HashMap<u64, CancellationToken>>,
+    pub(super) stalled: watch::Sender<bool>,
+    /// Wakes the announcer after a change.
+    pub(super) changed: Notify,
+    incarnation: AtomicU64,
+    shards: Mutex<Vec<(Holding, Arc<Shard>)>>,
+    library: Arc<Library>,
+    rng: Mutex<SmallRng>,
+    crash: Notify,
+    opened: AtomicU64,
+    silent_through: Arc<AtomicU64>,
+}
+
+impl Host {
+    /// Opens the listener of a target. [`Self::live`] serves it.
+    pub async fn open(
+        spec: TargetSpec,
+        library: Arc<Library>,
+        seed: u64,
+    ) -> std::io::Result<(Arc<Self>, TcpListener)> {
+        let listener = TcpListener::bind(spec.listen).await?;
+        let switches = Switches {
+            slow: 1.0,
+            straggle: (0, 1.0),
+            crash_on: None,
+            announce: true,
+            leaving: None,
+            damage: None,
+            lie: None,
+            down: false,
+            back_after_ms: 0,
+        };
+        let rng = SmallRng::seed_from_u64(xxh3_64_with_seed(spec.name.as_bytes(), seed));
+        let host = Self {
+            addr: listener.local_addr()?,
+            gate: Arc::new(Gate::new(&spec, Instant::now())),
+            switches: Mutex::new(switches),
+            counters: Mutex::default(),
+            cancels: Mutex::default(),
+            stalled: watch::Sender::new(false),
+            changed: Notify::new(),
+            incarnation: AtomicU64::new(unix_ms()),
+            shards: Mutex::default(),
+            library,
+            rng: Mutex::new(rng),
+            crash: Notify::new(),
+            opened: AtomicU64::new(0),
+            silent_through: Arc::default(),
+            spec,
+        };
+        host.hold(host.spec.holdings.clone());
+        Ok((Arc::new(host), listener))
+    }
+
+    /// Serves the target for as long as the process runs, over all its crashes.
+    pub async fn live(self: Arc<Self>, mut listener: TcpListener) {
+        loop {
+            tokio::select! {
+                () = self.clone().accept(listener) => {}
+                () = self.crash.notified() => {}
+            }
+            let back_after = Duration::from_millis(self.switches.lock().back_after_ms);
+            tokio::time::sleep(back_after).await;
+            listener = self.reopen().await;
+        }
+    }
+
+    /// Ends the listener and all connections. The caller's own connection ends too.
+    pub fn crash(&self, back_after_ms: u64) {
+        let mut switches = self.switches.lock();
+        if switches.down {
+            return;
+        }
+        switches.down = true;
+        switches.back_after_ms = back_after_ms;
+        drop(switches);
+        self.counters.lock().crashes += 1;
+        self.crash.notify_one();
+    }
+
+    /// Applies a fault.
+    pub fn apply(&self, fault: Fault) {
+        let now = Instant::now();
+        match fault {
+            Fault::Slow { factor } => self.switches.lock().slow = factor,
+            Fault::Straggle { one_in, factor } => self.switches.lock().straggle = (one_in, factor),
+            Fault::Stall { on } => drop(self.stalled.send_replace(on)),
+            Fault::Shed { on } => {
+                self.gate.set_excess(if on { Excess::Shed } else { Excess::Accept });
+            }
+            Fault::TurnCold => self.gate.turn_cold(now),
+            Fault::Silence => {
+                let opened = self.opened.load(Ordering::Relaxed);
+                self.silent_through.store(opened, Ordering::Relaxed);
+            }
+            Fault::CrashOn { text, back_after_ms } => {
+                self.switches.lock().crash_on = text.map(|it| (it, back_after_ms));
+            }
+            Fault::Crash { back_after_ms } => self.crash(back_after_ms),
+            Fault::Announce { on } => self.switches.lock().announce = on,
+            Fault::Leave { refuse_after_ms } => {
+                let refuse_at = now + Duration::from_millis(refuse_after_ms);
+                self.switches.lock().leaving.get_or_insert(refuse_at);
+            }
+            Fault::Return => {
+                self.switches.lock().leaving = None;
+                self.gate.turn_cold(now);
+            }
+            Fault::Hold { holdings } => self.hold(holdings),
+            Fault::Damage { damage } => self.switches.lock().damage = damage,
+            Fault::Lie { lie } => self.switches.lock().lie = lie,
+            Fault::Mark => self.counters.lock().since_mark = 0,
+            Fault::Heal => self.heal(),
+        }
+        self.changed.notify_one();
+    }
+
+    /// What the target announces now; none if it is down or told to be quiet.
+    pub fn announcement(&self) -> Option<Announcement> {
+        let switches = self.switches.lock();
+        if switches.down || !switches.announce {
+            return None;
+        }
+        let phase = if switches.leaving.is_some() { Phase::Leaving } else { Phase::Serving };
+        let lie = switches.lie;
+        drop(switches);
+        let target = Target {
+            name: self.spec.name.clone(),
+            incarnation: self.incarnation(),
+            addr: self.addr,
+            zone: self.spec.zone.clone(),
+            labels: self.spec.labels.clone(),
+            slots: self.spec.slots,
+            warm_up: self.spec.warm_up,
+            connections: self.spec.connections,
+            phase,
+            holdings: self.shards.lock().iter().map(|(it, _)| it.clone()).collect(),
+        };
+        let cold = lie.map_or_else(|| self.gate.cold(Instant::now()), |it| it.cold);
+        Some(Announcement { target, cold })
+    }
+
+    /// The counters.
+    pub fn stats(&self) -> TargetStats {
+        let mut stats = TargetStats {
+            name: self.spec.name.clone(),
+            zone: self.spec.zone.clone(),
+            incarnation: self.incarnation(),
+            down: self.switches.lock().down,
+            ..TargetStats::default()
+        };
+        self.gate.read(&mut stats, Instant::now());
+        let counters = self.counters.lock();
+        stats.received = counters.received;
+        stats.started = counters.started;
+        stats.finished = counters.finished;
+        stats.refused = counters.refused;
+        stats.dropped = counters.dropped;
+        stats.after_leave = counters.after_leave;
+        stats.since_mark = counters.since_mark;
+        stats.last_received_ms = counters.last_received_ms;
+        stats.last_service_us = counters.last_service_us;
+        stats.announced = counters.announced;
+        stats.runs = counters.runs.clone();
+        stats.connections = counters.connections;
+        stats.max_connections = counters.max_connections;
+        stats.connections_refused = counters.connections_refused;
+        stats.crashes = counters.crashes;
+        stats
+    }
+
+    /// Distinguishes the runs of the target.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn shard(&self, index: &str, version: u64, shard: u32) -> Option<Arc<Shard>> {
+        let shards = self.shards.lock();
+        let found = shards
+            .iter()
+            .find(|(it, _)| it.shard == shard && it.version == version && it.index == index);
+        found.map(|(_, it)| it.clone())
+    }
+
+    /// Draws a service time, in seconds.
+    pub(super) fn service_secs(&self) -> f64 {
+        let (slow, (one_in, factor)) = {
+            let switches = self.switches.lock();
+            (switches.slow, switches.straggle)
+        };
+        let median = self.spec.service_us as f64 / 1e6;
+        let mut rng = self.rng.lock();
+        let spread = LogNormal::new(0.0, SERVICE_SIGMA).map_or(1.0, |it| it.sample(&mut *rng));
+        let straggles = one_in > 0 && rng.random_range(0..one_in) == 0;
+        median * spread * slow * if straggles { factor } else { 1.0 }
+    }
+
+    fn hold(&self, holdings: Vec<Holding>) {
+        let load = |it: Holding| self.library.shard(&it).map(|shard| (it, shard));
+        let shards = holdings.into_iter().filter_map(load).collect();
+        *self.shards.lock() = shards;
+    }
+
+    fn heal(&self) {
+        let mut switches = self.switches.lock();
+        switches.slow = 1.0;
+        switches.straggle = (0, 1.0);
+        switches.crash_on = None;
+        switches.announce = true;
+        switches.damage = None;
+        switches.lie = None;
+        drop(switches);
+        self.stalled.send_replace(false);
+    }
+
+    async fn reopen(&self) -> TcpListener {
+        let listener = loop {
+            match TcpListener::bind(self.addr).await {
+                Ok(listener) => break listener,
+                Err(_) => tokio::time::sleep(BIND_PAUSE).await,
+            }
+        };
+        self.incarnation.store(unix_ms().max(self.incarnation() + 1), Ordering::Relaxed);
+        self.gate.turn_cold(Instant::now());
+        let mut switches = self.switches.lock();
+        switches.down = false;
+        switches.leaving = None;
+        self.changed.notify_one();
+        listener
+    }
+
+    /// Serves connections. They all end when this future is dropped.
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        let mut connections = JoinSet::new();
+        let router = serve::router(self.clone());
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((stream, _)) = accepted else { continue };
+                    let Some(guard) = self.clone().admit() else { continue };
+                    let service = TowerToHyperService::new(router.clone());
+                    connections.spawn(self.clone().connection(stream, guard, service));
+                }
+                Some(_) = connections.join_next() => {}
+            }
+        }
+    }
+
+    fn admit(self: Arc<Self>) -> Option<Open> {
+        let mut counters = self.counters.lock();
+        if counters.connections >= self.spec.connections {
+            counters.connections_refused += 1;
+            return None;
+        }
+        counters.connections += 1;
+        counters.max_connections = counters.max_connections.max(counters.connections);
+        drop(counters);
+        Some(Open(self))
+    }
+
+    async fn connection(
+        self: Arc<Self>,
+        stream: TcpStream,
+        _open: Open,
+        service: TowerToHyperService<axum::Router>,
+    ) {
+        let _ = stream.set_nodelay(true);
+        let number = self.opened.fetch_add(1, Ordering::Relaxed) + 1;
+        tokio::time::sleep(Duration::from_millis(self.spec.connect_ms)).await;
+        let conn = Conn::new(stream, number, self.silent_through.clone());
+        let _ = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(conn), service)
+            .await;
+    }
+}
+
+/// An open connection; counted until it is dropped.
+struct Open(Arc<Host>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.counters.lock().connections -= 1;
+    }
+}
--- /dev/null
+++ b/src/lab/target/mod.rs
@@ -0,0 +1,101 @@
+//! Stand-in targets. One process hosts many, each with its own listener and limits.
+//!
+//! A target serves the endpoints of [`crate::wire::target`] and announces itself to entry hosts. The process listens
+//! on `listen_lab` for the requests of [`fault`], which steer and read its targets.
+
+pub mod announce;
+pub mod conn;
+pub mod fault;
+pub mod gate;
+pub mod host;
+mod serve;
+
+use std::{net::SocketAddr, sync::Arc};
+
+use axum::{
+    Json, Router,
+    extract::{DefaultBodyLimit, State},
+    http::StatusCode,
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use eyre::WrapErr;
+use tokio::net::TcpListener;
+
+use crate::{
+    lab::{
+        dataset::{Dataset, Library},
+        http::Client,
+    },
+    settings,
+};
+use fault::{Stats, Steering};
+use host::Host;
+
+/// The longest steering body, in bytes; it may carry the holdings of hundreds of targets.
+const MAX_STEERING_BYTES: usize = 16 << 20;
+
+/// Runs all targets of the settings until the process ends.
+pub async fn run(cfg: settings::Target) -> eyre::Result<()> {
+    let (addr, served) = start(cfg).await?;
+    log::info!("event=started listen_lab={addr}");
+    served.await.wrap_err("the lab listener ended")?;
+    Ok(())
+}
+
+/// Starts all targets and returns the address that steers them, and the task that serves it. All tasks run on the
+/// current runtime.
+pub async fn start(
+    cfg: settings::Target,
+) -> eyre::Result<(SocketAddr, tokio::task::JoinHandle<()>)> {
+    let library = Arc::new(Library::new(Dataset { seed: cfg.seed, rows: cfg.rows }));
+    let client = Client::default();
+    let mut hosts = Vec::new();
+    for spec in cfg.targets {
+        let (name, listen) = (spec.name.clone(), spec.listen);
+        let (host, listener) = Host::open(spec, library.clone(), cfg.seed)
+            .await
+            .wrap_err_with(|| format!("cannot open {listen} for target {name}"))?;
+        hosts.push(host.clone());
+        tokio::spawn(host.clone().live(listener));
+        tokio::spawn(announce::announce(host, cfg.entries.clone(), client.clone()));
+    }
+    let listener = TcpListener::bind(cfg.listen_lab)
+        .await
+        .wrap_err_with(|| format!("cannot open {}", cfg.listen_lab))?;
+    let addr = listener.local_addr()?;
+    let router = Router::new()
+        .route("/v1/lab/stats", get(stats))
+        .route("/v1/lab/faults", post(faults))
+        .layer(DefaultBodyLimit::max(MAX_STEERING_BYTES))
+        .with_state(Arc::new(hosts));
+    let served = tokio::spawn(async move {
+        if let Err(err) = axum::serve(listener, router).await {
+            log::error!("event=stopped cause={err:?}");
+        }
+    });
+    Ok((addr, served))
+}
+
+async fn stats(State(hosts): State<Arc<Vec<Arc<Host>>>>) -> Json<Stats> {
+    Json(Stats { targets: hosts.iter().map(|it| it.stats()).collect() })
+}
+
+async fn faults(
+    State(hosts): State<Arc<Vec<Arc<Host>>>>,
+    Json(steering): Json<Steering>,
+) -> Response {
+    let known = |name: &String| hosts.iter().any(|it| it.spec.name == *name);
+    let unknown: Vec<_> =
+        steering.steps.iter().flat_map(|it| &it.targets).filter(|it| !known(it)).collect();
+    if !unknown.is_empty() {
+        return (StatusCode::NOT_FOUND, Json(unknown)).into_response();
+    }
+    for step in steering.steps {
+        let concerned = |it: &&Arc<Host>| {
+            step.targets.is_empty() || step.targets.iter().any(|name| *name == it.spec.name)
+        };
+        hosts.iter().filter(concerned).for_each(|it| it.apply(step.fault.clone()));
+    }
+    StatusCode::NO_CONTENT.into_response()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod control;
 pub mod error;
 pub mod event;
+pub mod lab;
 pub mod lease;
 pub mod metric;
 pub mod policy;
