--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod lab;
 pub mod lease;
 pub mod metric;
+pub mod owner;
+pub mod peer;
 pub mod policy;
 pub mod settings;
 pub mod state;
