--- a/src/bin/gentianpass-target.rs
+++ b/src/bin/gentianpass-target.rs
@@ -1,28 +1,40 @@
 //! A process of stand-in targets.
 
-use std::path::PathBuf;
+use std::{path::PathBuf, process::ExitCode};
 
 use clap::Parser;
 use gentianpass::{lab::target, settings};
 
-/// Serves stand-in targets for the demo and the tests.
+/// Stand-in targets of gentianpass for the demo and the tests.
 #[derive(Parser)]
 #[command(version)]
 struct Args {
     /// The settings file.
-    #[arg(long)]
+    #[arg(long, value_name = "FILE")]
     settings: PathBuf,
-    /// Only checks the settings file.
+    /// Checks the settings, reports every problem and exits.
     #[arg(long)]
     check: bool,
 }
 
-fn main() -> eyre::Result<()> {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+fn main() -> ExitCode {
     let args = Args::parse();
-    let cfg: settings::Target = settings::load(&args.settings)?;
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let cfg = match settings::load::<settings::Target>(&args.settings) {
+        Ok(cfg) => cfg,
+        Err(problems) => {
+            eprintln!("{problems}");
+            return ExitCode::FAILURE;
+        }
+    };
     if args.check {
-        return Ok(());
+        return ExitCode::SUCCESS;
+    }
+    match target::run(cfg) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            log::error!("event=failed cause={:?}", format!("{err:#}"));
+            ExitCode::FAILURE
+        }
     }
-    tokio::runtime::Runtime::new()?.block_on(target::run(cfg))
 }
--- /dev/null
+++ b/src/lab/fleet/mod.rs
@@ -0,0 +1,264 @@
+//! A fleet of real processes on this machine, each with its own settings file, log and data folder.
+
+mod plan;
+mod process;
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use eyre::WrapErr;
+use hyper::Method;
+use tempfile::TempDir;
+
+use crate::lab::{
+    caller::Caller,
+    http::{self, Client},
+    operator::Operator,
+    target::fault::{Fault, Stats, Steering, Step, TargetStats},
+};
+pub use plan::{Binaries, HostPlan, Plan, Service, TOKEN, template};
+pub use process::Process;
+
+/// The pause between two looks at a condition.
+const POLL_PAUSE: Duration = Duration::from_millis(20);
+
+/// How long a request of the launcher may take.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A control or entry host.
+pub struct Host {
+    /// The name of the host.
+    pub name: String,
+    /// The availability zone.
+    pub zone: String,
+    /// The address for operators or callers.
+    pub http: SocketAddr,
+    /// The address for other processes of the system.
+    pub rpc: SocketAddr,
+    /// The folder for durable state, which only control hosts use.
+    pub data_dir: PathBuf,
+    /// The process.
+    pub process: Process,
+}
+
+impl Host {
+    /// Starts the host again without its durable state.
+    pub fn restart_empty(&mut self) -> eyre::Result<()> {
+        if self.process.ended()?.is_none() {
+            self.process.kill()?;
+        }
+        if self.data_dir.exists() {
+            fs::remove_dir_all(&self.data_dir)?;
+        }
+        fs::create_dir_all(&self.data_dir)?;
+        self.process.restart()
+    }
+}
+
+/// A process of stand-in targets.
+pub struct TargetProcess {
+    /// The address that steers it.
+    pub lab: SocketAddr,
+    /// The names of its targets.
+    pub names: Vec<String>,
+    /// The process.
+    pub process: Process,
+}
+
+/// Running processes. All of them are killed when the fleet is dropped.
+pub struct Fleet {
+    /// Control hosts in the order of the plan.
+    pub controls: Vec<Host>,
+    /// Entry hosts in the order of the plan.
+    pub entries: Vec<Host>,
+    /// Target processes in the order of the plan.
+    pub targets: Vec<TargetProcess>,
+    /// The plan.
+    pub plan: Plan,
+    /// The operators' client.
+    pub operator: Operator,
+    client: Client,
+    dir: TempDir,
+}
+
+impl Fleet {
+    /// Starts all processes and waits until they are healthy.
+    pub async fn start(plan: Plan) -> eyre::Result<Self> {
+        let mut fleet = Self::spawn(plan)?;
+        fleet.until_healthy(Duration::from_secs(20)).await?;
+        Ok(fleet)
+    }
+
+    /// Starts all processes without waiting for them.
+    pub fn spawn(plan: Plan) -> eyre::Result<Self> {
+        let controls = (0..plan.controls.len()).map(|it| plan.control(it).0).collect();
+        let mut fleet = Self {
+            controls: Vec::new(),
+            entries: Vec::new(),
+            targets: Vec::new(),
+            operator: Operator::new(controls, TOKEN),
+            client: Client::default(),
+            dir: TempDir::with_prefix("gentianpass-lab-")?,
+            plan,
+        };
+        for i in 0..fleet.plan.controls.len() {
+            let host = fleet.start_control(i)?;
+            fleet.controls.push(host);
+        }
+        for i in 0..fleet.plan.entries.len() {
+            let host = fleet.start_entry(i)?;
+            fleet.entries.push(host);
+        }
+        for i in 0..fleet.plan.targets.len() {
+            let process = fleet.start_targets(i)?;
+            fleet.targets.push(process);
+        }
+        Ok(fleet)
+    }
+
+    /// Waits until each control and entry host serves and all targets are in the configuration.
+    pub async fn until_healthy(&mut self, timeout: Duration) -> eyre::Result<()> {
+        let end = Instant::now() + timeout;
+        loop {
+            let Err(err) = self.healthy().await else { return Ok(()) };
+            self.check_processes()?;
+            if Instant::now() > end {
+                return Err(err.wrap_err(format!("not healthy after {timeout:?}")));
+            }
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+    }
+
+    /// Fails with the end of its log if a process has ended.
+    pub fn check_processes(&mut self) -> eyre::Result<()> {
+        let hosts = self.controls.iter_mut().chain(&mut self.entries).map(|it| &mut it.process);
+        for process in hosts.chain(self.targets.iter_mut().map(|it| &mut it.process)) {
+            if let Some(status) = process.ended()? {
+                eyre::bail!("a process ended with {status}:\n{}", process.log_tail());
+            }
+        }
+        Ok(())
+    }
+
+    /// The folder with the settings, logs and data of all processes.
+    pub fn dir(&self) -> &std::path::Path {
+        self.dir.path()
+    }
+
+    /// A client with this caller name that knows all entry hosts.
+    pub fn caller(&self, name: &str) -> Caller {
+        Caller::new(name, self.entries.iter().map(|it| it.http).collect())
+    }
+
+    /// Tells targets to do something. The names may belong to several processes; no name means all targets.
+    pub async fn fault(&self, names: &[&str], fault: Fault) -> eyre::Result<()> {
+        for process in &self.targets {
+            let own = process.names.iter().filter(|it| names.contains(&it.as_str()));
+            let targets: Vec<String> = own.cloned().collect();
+            if names.is_empty() || !targets.is_empty() {
+                let steps = vec![Step { targets, fault: fault.clone() }];
+                self.steer(process, Steering { steps }).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Sends steps to one target process.
+    pub async fn steer(&self, process: &TargetProcess, steering: Steering) -> eyre::Result<()> {
+        let body = http::encode(&steering)?;
+        let sent =
+            self.client.send(Method::POST, process.lab, "/v1/lab/faults", &[], body, TIMEOUT);
+        let (status, answer) = sent.await?;
+        eyre::ensure!(status.is_success(), "steering: {status} {answer:?}");
+        Ok(())
+    }
+
+    /// What all targets counted.
+    pub async fn stats(&self) -> eyre::Result<Vec<TargetStats>> {
+        let mut all = Vec::new();
+        for process in &self.targets {
+            let stats: Stats = self.client.get(process.lab, "/v1/lab/stats", TIMEOUT).await?;
+            all.extend(stats.targets);
+        }
+        Ok(all)
+    }
+
+    /// The names of all targets in a zone.
+    pub fn targets_in(&self, zone: &str) -> Vec<&str> {
+        let all = self.plan.targets.iter().flatten();
+        all.filter(|it| it.zone == zone).map(|it| it.name.as_str()).collect()
+    }
+
+    async fn healthy(&self) -> eyre::Result<()> {
+        for host in self.controls.iter() {
+            self.get_ok(host.http, "/healthz").await.wrap_err_with(|| host.name.clone())?;
+        }
+        for process in &self.targets {
+            self.get_ok(process.lab, "/v1/lab/stats").await.wrap_err("target process")?;
+        }
+        for host in &self.entries {
+            self.get_ok(host.http, "/v1/entries").await.wrap_err_with(|| host.name.clone())?;
+        }
+        if self.controls.is_empty() || self.entries.is_empty() {
+            return Ok(());
+        }
+        let state = self.operator.state().await?;
+        let expected: usize = self.targets.iter().map(|it| it.names.len()).sum();
+        let (nodes, targets) = (state.nodes.len(), state.targets.len());
+        eyre::ensure!(nodes == self.entries.len(), "{nodes} entry hosts joined");
+        eyre::ensure!(targets == expected, "{targets} of {expected} targets joined");
+        Ok(())
+    }
+
+    async fn get_ok(&self, addr: SocketAddr, path: &str) -> eyre::Result<()> {
+        let sent = self.client.send(Method::GET, addr, path, &[], Bytes::new(), TIMEOUT).await;
+        let (status, body) = sent.wrap_err_with(|| format!("{addr}{path}"))?;
+        eyre::ensure!(status.is_success(), "{addr}{path}: {status} {body:?}");
+        Ok(())
+    }
+
+    fn start_control(&self, i: usize) -> eyre::Result<Host> {
+        let plan = &self.plan.controls[i];
+        let data_dir = self.dir.path().join(&plan.name);
+        fs::create_dir_all(&data_dir)?;
+        let settings = self.plan.control_settings(i, &data_dir);
+        let process = self.start_process("gentianpass-control", &plan.name, &settings)?;
+        let (http, rpc) = self.plan.control(i);
+        let (name, zone) = (plan.name.clone(), plan.zone.clone());
+        Ok(Host { name, zone, http, rpc, data_dir, process })
+    }
+
+    fn start_entry(&self, i: usize) -> eyre::Result<Host> {
+        let plan = &self.plan.entries[i];
+        let settings = self.plan.entry_settings(i);
+        let process = self.start_process("gentianpass-entry", &plan.name, &settings)?;
+        let (http, rpc) = self.plan.entry(i);
+        let (name, zone) = (plan.name.clone(), plan.zone.clone());
+        Ok(Host { name, zone, http, rpc, data_dir: self.dir.path().join(&plan.name), process })
+    }
+
+    fn start_targets(&self, i: usize) -> eyre::Result<TargetProcess> {
+        let settings = self.plan.target_settings(i)?;
+        let process =
+            self.start_process("gentianpass-target", &format!("targets-{i}"), &settings)?;
+        let names = self.plan.targets[i].iter().map(|it| it.name.clone()).collect();
+        Ok(TargetProcess { lab: self.plan.lab(i), names, process })
+    }
+
+    fn start_process(
+        &self,
+        program: &str,
+        name: &str,
+        settings: &toml::Table,
+    ) -> eyre::Result<Process> {
+        let file = self.dir.path().join(format!("{name}.toml"));
+        fs::write(&file, toml::to_string(settings)?)?;
+        let log = self.dir.path().join(format!("{name}.log"));
+        Process::start(&self.plan.binaries.path(program), &file, &log)
+    }
+}
--- /dev/null
+++ b/src/lab/fleet/plan.rs
@@ -0,0 +1,237 @@
+//! What a fleet consists of, and the settings files of its processes.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+};
+
+use eyre::WrapErr;
+use rand::random_range;
+use toml::{Table, Value};
+
+use crate::{settings::TargetSpec, state::Holding};
+
+/// The operators' secret of every fleet of the lab.
+pub const TOKEN: &str = "lab-operator-token";
+
+const CONTROL_HTTP: u16 = 21_000;
+const CONTROL_RPC: u16 = 22_000;
+const ENTRY_HTTP: u16 = 23_000;
+const ENTRY_RPC: u16 = 24_000;
+const LAB: u16 = 25_000;
+const TARGET: u16 = 26_000;
+
+/// The programs of a fleet.
+#[derive(Clone, Debug)]
+pub struct Binaries(PathBuf);
+
+impl Binaries {
+    /// The programs in a folder.
+    pub fn in_folder(folder: impl Into<PathBuf>) -> Self {
+        Self(folder.into())
+    }
+
+    /// The programs in the folder of one of them, such as `env!("CARGO_BIN_EXE_gentianpass-entry")`.
+    pub fn beside(program: impl AsRef<Path>) -> Self {
+        Self(program.as_ref().parent().unwrap_or(Path::new(".")).to_owned())
+    }
+
+    /// The programs in the folder of the running program.
+    pub fn beside_current() -> eyre::Result<Self> {
+        Ok(Self::beside(std::env::current_exe()?))
+    }
+
+    pub(super) fn path(&self, name: &str) -> PathBuf {
+        self.0.join(name)
+    }
+}
+
+/// A control or entry host to be started.
+#[derive(Clone, Debug, Default)]
+pub struct HostPlan {
+    /// The name of the host.
+    pub name: String,
+    /// The availability zone.
+    pub zone: String,
+    /// Settings that differ from the defaults or from what the launcher chooses.
+    pub settings: Table,
+}
+
+impl HostPlan {
+    /// A host with default settings.
+    pub fn new(name: impl Into<String>, zone: impl Into<String>) -> Self {
+        Self { name: name.into(), zone: zone.into(), settings: Table::new() }
+    }
+
+    /// Changes one setting.
+    pub fn with(mut self, key: &str, value: impl Into<Value>) -> Self {
+        self.settings.insert(key.into(), value.into());
+        self
+    }
+}
+
+/// What a fleet consists of. All addresses are fixed when the plan is made, on a loopback address of its own, so
+/// that fleets that run at the same time do not meet and relays can be started first.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The programs.
+    pub binaries: Binaries,
+    /// Control hosts; those with `role = "spare"` in their settings are not among the first voters.
+    pub controls: Vec<HostPlan>,
+    /// Entry hosts.
+    pub entries: Vec<HostPlan>,
+    /// The targets of each target process.
+    pub targets: Vec<Vec<TargetSpec>>,
+    /// The seed of the data set.
+    pub seed: u64,
+    /// The rows of each version.
+    pub rows: u64,
+    ip: IpAddr,
+    next_target: u16,
+}
+
+impl Plan {
+    /// An empty plan.
+    pub fn new(binaries: Binaries, seed: u64, rows: u64) -> Self {
+        let ip =
+            Ipv4Addr::new(127, random_range(1..255), random_range(0..=255), random_range(1..255));
+        Self {
+            binaries,
+            controls: Vec::new(),
+            entries: Vec::new(),
+            targets: Vec::new(),
+            seed,
+            rows,
+            ip: ip.into(),
+            next_target: TARGET,
+        }
+    }
+
+    /// An unused address for a target.
+    pub fn target_addr(&mut self) -> SocketAddr {
+        self.next_target += 1;
+        SocketAddr::new(self.ip, self.next_target)
+    }
+
+    /// Addresses for operators and for other processes of a control host.
+    pub fn control(&self, i: usize) -> (SocketAddr, SocketAddr) {
+        (self.addr(CONTROL_HTTP, i), self.addr(CONTROL_RPC, i))
+    }
+
+    /// Addresses for callers and for other processes of an entry host.
+    pub fn entry(&self, i: usize) -> (SocketAddr, SocketAddr) {
+        (self.addr(ENTRY_HTTP, i), self.addr(ENTRY_RPC, i))
+    }
+
+    /// The address that steers a target process.
+    pub fn lab(&self, i: usize) -> SocketAddr {
+        self.addr(LAB, i)
+    }
+
+    fn addr(&self, base: u16, i: usize) -> SocketAddr {
+        SocketAddr::new(self.ip, base + i as u16)
+    }
+
+    pub(super) fn control_settings(&self, i: usize, data_dir: &Path) -> Table {
+        let plan = &self.controls[i];
+        let (http, rpc) = self.control(i);
+        let spare = Value::from("spare");
+        let voters = (0..self.controls.len())
+            .filter(|&it| self.controls[it].settings.get("role") != Some(&spare))
+            .map(|it| self.control(it).1);
+        let mut table = host_settings(plan, http, rpc);
+        table.insert("data_dir".into(), data_dir.display().to_string().into());
+        table.insert("peers".into(), addresses(voters));
+        table.extend(plan.settings.clone());
+        table
+    }
+
+    pub(super) fn entry_settings(&self, i: usize) -> Table {
+        let plan = &self.entries[i];
+        let (http, rpc) = self.entry(i);
+        let controls = (0..self.controls.len()).map(|it| self.control(it).1);
+        let mut table = host_settings(plan, http, rpc);
+        table.insert("control".into(), addresses(controls));
+        table.extend(plan.settings.clone());
+        table
+    }
+
+    pub(super) fn target_settings(&self, i: usize) -> eyre::Result<Table> {
+        // The settings need an address; in a fleet without entry hosts nobody listens there.
+        let entries = (0..self.entries.len().max(1)).map(|it| self.entry(it).0);
+        let mut table = Table::new();
+        table.insert("listen_lab".into(), self.lab(i).to_string().into());
+        table.insert("entries".into(), addresses(entries));
+        table.insert("seed".into(), (self.seed as i64).into());
+        table.insert("rows".into(), (self.rows as i64).into());
+        let targets = Value::try_from(&self.targets[i]).wrap_err("targets as TOML")?;
+        table.insert("targets".into(), targets);
+        Ok(table)
+    }
+}
+
+fn host_settings(plan: &HostPlan, http: SocketAddr, rpc: SocketAddr) -> Table {
+    let mut table = Table::new();
+    table.insert("name".into(), plan.name.clone().into());
+    table.insert("zone".into(), plan.zone.clone().into());
+    table.insert("listen_http".into(), http.to_string().into());
+    table.insert("listen_rpc".into(), rpc.to_string().into());
+    table.insert("operator_token".into(), TOKEN.into());
+    table
+}
+
+fn addresses(of: impl Iterator<Item = SocketAddr>) -> Value {
+    Value::Array(of.map(|it| it.to_string().into()).collect())
+}
+
+/// A service of targets: some shards with a replica in each zone, or servers without an index.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// The name, the value of the label `service`.
+    pub name: String,
+    /// The index; targets of a service without shards hold none.
+    pub index: String,
+    /// The number of shards.
+    pub shards: u32,
+    /// The limits of each target; name, zone, address and holdings are filled in.
+    pub template: TargetSpec,
+}
+
+impl Service {
+    /// The targets, one per shard and zone, named `SERVICE-SHARD-ZONE`. They hold version 1.
+    pub fn targets(&self, plan: &mut Plan, zones: &[&str]) -> Vec<TargetSpec> {
+        let cells = (0..self.shards).flat_map(|shard| zones.iter().map(move |zone| (shard, *zone)));
+        cells
+            .map(|(shard, zone)| {
+                let holding =
+                    Holding { index: self.index.clone(), version: 1, shard, shards: self.shards };
+                TargetSpec {
+                    name: format!("{}-{shard:03}-{zone}", self.name),
+                    zone: zone.into(),
+                    listen: plan.target_addr(),
+                    labels: BTreeMap::from([("service".into(), self.name.clone())]),
+                    holdings: vec![holding],
+                    ..self.template.clone()
+                }
+            })
+            .collect()
+    }
+}
+
+/// The limits of a stand-in target that starts warm.
+pub fn template(slots: u32, connections: u32, connect_ms: u64, service_us: u64) -> TargetSpec {
+    TargetSpec {
+        name: String::new(),
+        zone: String::new(),
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        labels: BTreeMap::new(),
+        slots,
+        warm_up: 1,
+        connections,
+        connect_ms,
+        service_us,
+        warm_after_ms: 0,
+        holdings: Vec::new(),
+    }
+}
--- /dev/null
+++ b/src/lab/fleet/process.rs
@@ -0,0 +1,137 @@
+//! A process that the launcher started.
+
+use std::{
+    fs::File,
+    io,
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    time::{Duration, Instant},
+};
+
+use eyre::WrapErr;
+use rustix::process::{Pid, Signal, kill_process};
+
+/// The pause between two looks at a process that is about to end.
+const POLL_PAUSE: Duration = Duration::from_millis(5);
+
+/// The kernel's unit of CPU time in `/proc`, the same on all Linux systems.
+const TICK: Duration = Duration::from_millis(10);
+
+/// A started process. It is killed when it is dropped.
+pub struct Process {
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Child,
+}
+
+impl Process {
+    /// Starts `PROGRAM --settings FILE` with its output in a log file.
+    pub fn start(program: &Path, settings: &Path, log: &Path) -> eyre::Result<Self> {
+        let child = spawn(program, settings, log)?;
+        Ok(Self {
+            program: program.to_owned(),
+            settings: settings.to_owned(),
+            log: log.to_owned(),
+            child,
+        })
+    }
+
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// How the process ended, if it did.
+    pub fn ended(&mut self) -> io::Result<Option<ExitStatus>> {
+        self.child.try_wait()
+    }
+
+    /// Ends the process at once (SIGKILL) and waits for its end.
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.child.kill()?;
+        self.child.wait().map(drop)
+    }
+
+    /// Asks the process to stop (SIGTERM).
+    pub fn terminate(&mut self) -> io::Result<()> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Freezes the process (SIGSTOP).
+    pub fn freeze(&mut self) -> io::Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets a frozen process go on (SIGCONT).
+    pub fn resume(&mut self) -> io::Result<()> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Waits until the process has ended.
+    pub async fn wait(&mut self, timeout: Duration) -> eyre::Result<ExitStatus> {
+        let end = Instant::now() + timeout;
+        while Instant::now() < end {
+            if let Some(status) = self.ended()? {
+                return Ok(status);
+            }
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+        eyre::bail!("process {} still runs after {timeout:?}", self.id())
+    }
+
+    /// Starts the process again after it has ended, or kills and starts it.
+    pub fn restart(&mut self) -> eyre::Result<()> {
+        if self.ended()?.is_none() {
+            self.kill()?;
+        }
+        self.child = spawn(&self.program, &self.settings, &self.log)?;
+        Ok(())
+    }
+
+    /// The CPU time that the process has used, with a resolution of 10 ms.
+    pub fn cpu_time(&self) -> eyre::Result<Duration> {
+        let path = format!("/proc/{}/stat", self.id());
+        let stat = std::fs::read_to_string(&path).wrap_err(path)?;
+        // The name of the program, in parentheses, may contain spaces. User and system time are fields 14 and 15.
+        let after_name = stat.rsplit_once(')').map_or("", |(_, it)| it);
+        let ticks = after_name.split_whitespace().skip(11).take(2).map(str::parse::<u32>);
+        let ticks = ticks.sum::<Result<u32, _>>()?;
+        Ok(TICK * ticks)
+    }
+
+    /// The end of the log of the process.
+    pub fn log_tail(&self) -> String {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<_> = log.lines().rev().take(20).collect();
+        lines.into_iter().rev().collect::<Vec<_>>().join("\n")
+    }
+
+    fn signal(&mut self, signal: Signal) -> io::Result<()> {
+        // A process that has ended and was waited for has lost its id, which may belong to another one.
+        if self.ended()?.is_some() {
+            return Err(io::Error::new(io::ErrorKind::NotFound, "the process has ended"));
+        }
+        let pid = Pid::from_child(&self.child);
+        Ok(kill_process(pid, signal)?)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.kill();
+    }
+}
+
+fn spawn(program: &Path, settings: &Path, log: &Path) -> eyre::Result<Child> {
+    let out = File::options().create(true).append(true).open(log)?;
+    let err = out.try_clone()?;
+    Command::new(program)
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(out)
+        .stderr(err)
+        .spawn()
+        .wrap_err_with(|| format!("cannot start {}", program.display()))
+}
--- a/src/lab/target/host.rs
+++ b/src/lab/target/host.rs
@@ -146,10 +146,14 @@
     /// Serves the target for as long as the process runs, over all its crashes.
     pub async fn live(self: Arc<Self>, mut listener: TcpListener) {
         loop {
+            let mut connections = JoinSet::new();
             tokio::select! {
-                () = self.clone().accept(listener) => {}
+                () = self.clone().accept(&listener, &mut connections) => {}
                 () = self.crash.notified() => {}
             }
+            // The listener ends first, so that whoever notices a broken connection finds no open listener.
+            drop(listener);
+            connections.shutdown().await;
             let back_after = Duration::from_millis(self.switches.lock().back_after_ms);
             tokio::time::sleep(back_after).await;
             listener = self.reopen().await;
@@ -320,9 +324,7 @@
         listener
     }
 
-    /// Serves connections. They all end when this future is dropped.
-    async fn accept(self: Arc<Self>, listener: TcpListener) {
-        let mut connections = JoinSet::new();
+    async fn accept(self: Arc<Self>, listener: &TcpListener, connections: &mut JoinSet<()>) {
         let router = serve::router(self.clone());
         loop {
             tokio::select! {
--- a/src/lab/target/mod.rs
+++ b/src/lab/target/mod.rs
@@ -20,7 +20,10 @@
     routing::{get, post},
 };
 use eyre::WrapErr;
-use tokio::net::TcpListener;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+};
 
 use crate::{
     lab::{
@@ -35,12 +38,20 @@
 /// The longest steering body, in bytes; it may carry the holdings of hundreds of targets.
 const MAX_STEERING_BYTES: usize = 16 << 20;
 
-/// Runs all targets of the settings until the process ends.
-pub async fn run(cfg: settings::Target) -> eyre::Result<()> {
-    let (addr, served) = start(cfg).await?;
-    log::info!("event=started listen_lab={addr}");
-    served.await.wrap_err("the lab listener ended")?;
-    Ok(())
+/// Runs all targets of the settings until SIGTERM or SIGINT.
+pub fn run(cfg: settings::Target) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let (addr, served) = start(cfg).await?;
+        log::info!("event=started listen_lab={addr}");
+        tokio::select! {
+            ended = served => ended.wrap_err("the lab listener ended"),
+            _ = terminate.recv() => Ok(()),
+            _ = interrupt.recv() => Ok(()),
+        }
+    })
 }
 
 /// Starts all targets and returns the address that steers them, and the task that serves it. All tasks run on the
--- a/tests/lab/main.rs
+++ b/tests/lab/main.rs
@@ -1,5 +1,6 @@
 //! The stand-ins that all other tests rely on: data set, targets, relay.
 
 mod dataset;
+mod fleet;
 mod relay;
 mod target;
