Add the demo, the measurement and the slope of CPU time per sub-request

The naive system and the current one take turns on the same fleet, so that both meet the same machine conditions. Each answer is compared with the direct scan of its version, restricted to the shards that it covers.

--- /dev/null
+++ b/src/bin/gentianpass-lab.rs
@@ -0,0 +1,93 @@
+//! The demo and the measurements on a fleet of local processes.
+
+use std::{future::Future, process::ExitCode, time::Duration};
+
+use clap::{Parser, Subcommand};
+use gentianpass::lab::{
+    demo,
+    fleet::Binaries,
+    measure::{self, scenario::Scenario},
+    slope,
+};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Demo and measurements of gentianpass.
+#[derive(Parser)]
+#[command(version)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs the main job on a small fleet and checks each step.
+    Demo,
+    /// Compares the naive system with the current one under each scenario.
+    Measure {
+        /// Short slices, for 50 s in all.
+        #[arg(long)]
+        quick: bool,
+        /// Only this scenario; may be repeated.
+        #[arg(long = "scenario", value_name = "NAME")]
+        scenarios: Vec<Scenario>,
+        /// Only this workload.
+        #[arg(long, value_name = "NAME")]
+        workload: Option<String>,
+    },
+    /// Measures the CPU time of entry hosts per sub-request over the fan-out.
+    Slope {
+        /// The fan-outs.
+        #[arg(long, value_delimiter = ',', default_value = "30,100,300,860")]
+        fan_outs: Vec<u32>,
+        /// The number of entry hosts.
+        #[arg(long, default_value_t = 3)]
+        entries: usize,
+        /// How long each fan-out is measured, in seconds.
+        #[arg(long, default_value_t = 5)]
+        seconds: u64,
+    },
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    match run(Args::parse().command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("failed: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command: Command) -> eyre::Result<()> {
+    let binaries = Binaries::beside_current()?;
+    let runtime = tokio::runtime::Runtime::new()?;
+    runtime.block_on(async {
+        match command {
+            Command::Demo => until_signal(demo::run(binaries)).await,
+            Command::Measure { quick, scenarios, workload } => {
+                let options =
+                    if quick { measure::Options::quick() } else { measure::Options::full() };
+                let options = measure::Options { scenarios, workload, ..options };
+                until_signal(measure::run(binaries, options)).await
+            }
+            Command::Slope { fan_outs, entries, seconds } => {
+                let duration = Duration::from_secs(seconds);
+                let options = slope::Options { fan_outs, entries, duration };
+                until_signal(slope::run(binaries, options)).await
+            }
+        }
+    })
+}
+
+/// Drops the work on a signal, which ends all processes that it started.
+async fn until_signal(work: impl Future<Output = eyre::Result<()>>) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        done = work => done,
+        _ = terminate.recv() => eyre::bail!("SIGTERM"),
+        _ = interrupt.recv() => eyre::bail!("SIGINT"),
+    }
+}
--- /dev/null
+++ b/src/lab/demo/mod.rs
@@ -0,0 +1,69 @@
+//! The demo: the main job on a small fleet of local processes, with a check of each expectation.
+
+mod site;
+mod steps;
+
+use std::time::Duration;
+
+use crate::{error::Outcome, lab::fleet::Binaries};
+use site::Site;
+
+/// How long a change of configuration, zone or fleet may take until it is in effect.
+const IN_EFFECT: Duration = Duration::from_secs(3);
+
+/// The expectations that did not hold, and the lines that the demo prints.
+#[derive(Default)]
+struct Report {
+    failures: Vec<String>,
+}
+
+/// What a step shows.
+#[derive(Default)]
+struct Line {
+    version: Option<u64>,
+    covered: Option<(u32, u32)>,
+    latency: Duration,
+    outcome: Option<Outcome>,
+    extra: String,
+}
+
+impl Report {
+    fn line(&mut self, step: &str, line: &Line) {
+        let version = line.version.map_or("-".into(), |it| it.to_string());
+        let covered = line.covered.map_or("-".into(), |(part, all)| format!("{part}/{all}"));
+        let outcome = line.outcome.map_or("failed".into(), |it| it.to_string());
+        let latency_ms = line.latency.as_secs_f64() * 1e3;
+        println!(
+            "step={step} version={version} covered={covered} latency_ms={latency_ms:.1} \
+             outcome={outcome}{}",
+            line.extra
+        );
+    }
+
+    fn check(&mut self, step: &str, holds: bool, expectation: &str) {
+        if !holds {
+            println!("step={step} expected={expectation:?} held=false");
+            self.failures.push(format!("{step}: {expectation}"));
+        }
+    }
+}
+
+/// Runs the demo. Fails if an expectation does not hold.
+pub async fn run(binaries: Binaries) -> eyre::Result<()> {
+    let mut report = Report::default();
+    let mut site = Site::start(binaries).await?;
+    steps::configure(&site, &mut report).await?;
+    steps::searches(&site, &mut report).await?;
+    steps::dispatch(&site, &mut report).await?;
+    steps::zone_out(&site, &mut report).await?;
+    steps::zone_in(&site, &mut report).await?;
+    steps::kill_entry(&mut site, &mut report).await?;
+    steps::stop(site, &mut report).await?;
+    println!("demo={} failures={}", outcome(&report), report.failures.len());
+    eyre::ensure!(report.failures.is_empty(), "not as expected: {}", report.failures.join("; "));
+    Ok(())
+}
+
+fn outcome(report: &Report) -> &'static str {
+    if report.failures.is_empty() { "ok" } else { "failed" }
+}
--- /dev/null
+++ b/src/lab/demo/site.rs
@@ -0,0 +1,193 @@
+//! The fleet of the demo, and the queries that its callers send.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    event::unix_ms,
+    lab::{
+        caller::Error,
+        dataset::Dataset,
+        fleet::{Binaries, Fleet, template},
+        load::{Callers, Expected, Load, Sample, Stream, System},
+        shape::{ASSOCIATION, CUBBYHOLE, Shape},
+        target::fault::TargetStats,
+    },
+    settings::TargetSpec,
+    state::Holding,
+    wire::{
+        caller::{Answer, Dispatch, Query},
+        owner::Class,
+    },
+};
+
+pub const ZONES: [&str; 3] = CUBBYHOLE.zones;
+
+/// The service whose targets run print dispatches.
+pub const PRINT_QUEUE: &str = "print-queue";
+
+/// The request kind of a print dispatch.
+pub const PRINT_KIND: &str = "print-dispatch";
+
+const PRINT_TARGETS: usize = 9;
+const SEED: u64 = 42;
+const ROWS: u64 = 10_000;
+const DATASET: Dataset = Dataset { seed: SEED, rows: ROWS };
+const SERVICE_US: u64 = 5_000;
+const WARM_AFTER_MS: u64 = 500;
+const ENTRIES_TTL_MS: i64 = 1_000;
+const DEADLINE_MS: u64 = 1_500;
+const CALLERS: usize = 6;
+
+/// Label searches per second while the fleet changes.
+const BACKGROUND_QPS: f64 = 60.0;
+
+/// A search in one of the two indexes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Search {
+    /// A name in the label designer.
+    Label(u64),
+    /// All proofs of a venue in a year.
+    Proof(u64),
+}
+
+impl Search {
+    fn shape(self) -> &'static Shape {
+        match self {
+            Self::Label(_) => &CUBBYHOLE,
+            Self::Proof(_) => &ASSOCIATION,
+        }
+    }
+
+    fn query(self) -> Query {
+        let shape = self.shape();
+        let (kind, text) = match self {
+            Self::Label(number) => (shape.quick, DATASET.narrow_text(shape.index, number)),
+            Self::Proof(number) => (shape.broad, DATASET.broad_text(shape.index, number)),
+        };
+        Query { group: shape.service.into(), kind: kind.into(), text, deadline_ms: DEADLINE_MS }
+    }
+}
+
+/// An answer with everything that the demo checks.
+pub struct Searched {
+    pub latency: Duration,
+    pub result: Result<Answer, Error>,
+    pub correct: bool,
+    /// The longest service time of a shard.
+    pub slowest_shard: Duration,
+}
+
+/// The running fleet of the demo.
+pub struct Site {
+    pub fleet: Fleet,
+    pub callers: Arc<Callers>,
+    labels: Expected,
+    proofs: Expected,
+}
+
+impl Site {
+    /// Starts all processes.
+    pub async fn start(binaries: Binaries) -> eyre::Result<Self> {
+        let cubbyhole = Shape { service_us: SERVICE_US, ..CUBBYHOLE };
+        let association = Shape { service_us: SERVICE_US, zones: ZONES, ..ASSOCIATION };
+        let mut plan = cubbyhole.plan(binaries, SEED, ROWS, ZONES.len(), WARM_AFTER_MS);
+        for entry in &mut plan.entries {
+            entry.settings.insert("entries_ttl_ms".into(), ENTRIES_TTL_MS.into());
+        }
+        let proofs = association.targets(&mut plan, WARM_AFTER_MS);
+        plan.targets.push(proofs);
+        let printers = (0..PRINT_TARGETS).map(|it| printer(it, plan.target_addr())).collect();
+        plan.targets.push(printers);
+        let fleet = Fleet::start(plan).await?;
+        let callers = (0..CALLERS).map(|it| fleet.caller(&format!("designer-{it}"))).collect();
+        Ok(Self {
+            callers: Arc::new(Callers::new(callers)),
+            labels: Expected::new(DATASET, CUBBYHOLE.index),
+            proofs: Expected::new(DATASET, ASSOCIATION.index),
+            fleet,
+        })
+    }
+
+    /// Runs one search and compares its rows with the direct scan.
+    pub async fn search(&self, search: Search) -> eyre::Result<Searched> {
+        let query = search.query();
+        let before = self.fleet.stats().await?;
+        let sent = Instant::now();
+        let result = self.callers.query(&query).await;
+        let latency = sent.elapsed();
+        let after = self.fleet.stats().await?;
+        let expected = match search {
+            Search::Label(_) => &self.labels,
+            Search::Proof(_) => &self.proofs,
+        };
+        let correct = result.as_ref().is_ok_and(|it| expected.correct(&query.text, it));
+        Ok(Searched { latency, result, correct, slowest_shard: slowest(&before, &after) })
+    }
+
+    /// Runs label searches for a while and returns what became of them.
+    pub async fn background(&self, duration: Duration) -> Vec<Sample> {
+        let texts = (0..20).map(|it| DATASET.narrow_text(CUBBYHOLE.index, it)).collect();
+        let stream = Stream {
+            class: Class::Quick,
+            kind: CUBBYHOLE.quick.into(),
+            qps: BACKGROUND_QPS,
+            texts,
+            deadline_ms: DEADLINE_MS,
+        };
+        let load = Load {
+            group: CUBBYHOLE.service.into(),
+            streams: vec![stream],
+            duration,
+            seed: unix_ms(),
+        };
+        crate::lab::load::run(self.callers.clone(), &load).await
+    }
+
+    /// Whether each answer is whole and right.
+    pub fn all_right(&self, samples: &[Sample]) -> bool {
+        let right = |it: &Sample| {
+            it.result.as_ref().is_ok_and(|answer| self.labels.correct(&it.text, answer))
+        };
+        !samples.is_empty() && samples.iter().all(|it| it.full() && right(it))
+    }
+
+    /// Counters of the targets in a zone.
+    pub async fn zone_stats(&self, zone: &str) -> eyre::Result<Vec<TargetStats>> {
+        let stats = self.fleet.stats().await?;
+        Ok(stats.into_iter().filter(|it| it.zone == zone).collect())
+    }
+}
+
+/// A print job with a new key.
+pub fn print_job() -> Dispatch {
+    let now = unix_ms();
+    Dispatch {
+        group: PRINT_QUEUE.into(),
+        kind: PRINT_KIND.into(),
+        key: format!("job-{now}"),
+        issued_at_ms: now,
+        body: "layout of rack R12".into(),
+        deadline_ms: DEADLINE_MS,
+    }
+}
+
+fn printer(number: usize, listen: std::net::SocketAddr) -> TargetSpec {
+    TargetSpec {
+        name: format!("{PRINT_QUEUE}-{number}"),
+        zone: ZONES[number % ZONES.len()].into(),
+        listen,
+        labels: BTreeMap::from([("service".into(), PRINT_QUEUE.into())]),
+        holdings: vec![Holding { index: PRINT_QUEUE.into(), version: 1, shard: 0, shards: 1 }],
+        ..template(6, 130, 1, SERVICE_US)
+    }
+}
+
+fn slowest(before: &[TargetStats], after: &[TargetStats]) -> Duration {
+    let ran = before.iter().zip(after).filter(|(before, after)| after.finished > before.finished);
+    let slowest = ran.map(|(_, after)| after.last_service_us).max();
+    Duration::from_micros(slowest.unwrap_or(0))
+}
--- /dev/null
+++ b/src/lab/load.rs
@@ -0,0 +1,178 @@
+//! An open-loop load generator: queries arrive at random times, whatever became of the earlier ones.
+
+use std::{
+    collections::HashMap,
+    future::Future,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+use rand::{Rng, RngExt, SeedableRng, rngs::SmallRng};
+use rand_distr::{Distribution, Exp};
+use tokio::task::JoinSet;
+
+use crate::{
+    error::Outcome,
+    lab::{
+        caller::{Caller, Error},
+        dataset::Dataset,
+        naive,
+    },
+    wire::{
+        caller::{Answer, Query, Row},
+        owner::Class,
+    },
+};
+
+/// Something that answers queries.
+pub trait System: Send + Sync + 'static {
+    /// Answers one query.
+    fn query(&self, query: &Query) -> impl Future<Output = Result<Answer, Error>> + Send;
+}
+
+/// Many callers, who take turns.
+pub struct Callers {
+    callers: Vec<Caller>,
+    next: AtomicUsize,
+}
+
+impl Callers {
+    /// Makes a group of callers.
+    pub fn new(callers: Vec<Caller>) -> Self {
+        Self { callers, next: AtomicUsize::new(0) }
+    }
+}
+
+impl System for Callers {
+    async fn query(&self, query: &Query) -> Result<Answer, Error> {
+        let turn = self.next.fetch_add(1, Ordering::Relaxed);
+        self.callers[turn % self.callers.len()].query(query).await
+    }
+}
+
+/// One kind of query in a load.
+#[derive(Clone, Debug)]
+pub struct Stream {
+    /// The admission class.
+    pub class: Class,
+    /// The request kind.
+    pub kind: String,
+    /// Queries per second.
+    pub qps: f64,
+    /// The texts, one of which each query takes.
+    pub texts: Vec<String>,
+    /// The deadline of each query, in milliseconds.
+    pub deadline_ms: u64,
+}
+
+/// A load.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// The group that is asked.
+    pub group: String,
+    /// What arrives.
+    pub streams: Vec<Stream>,
+    /// For how long queries arrive.
+    pub duration: Duration,
+    /// The seed of times and texts.
+    pub seed: u64,
+}
+
+/// What became of one query.
+#[derive(Clone, Debug)]
+pub struct Sample {
+    /// The admission class.
+    pub class: Class,
+    /// The text.
+    pub text: String,
+    /// When it arrived, counted from the start of the load.
+    pub at: Duration,
+    /// Time from its arrival to its answer.
+    pub latency: Duration,
+    /// The answer.
+    pub result: Result<Answer, Error>,
+}
+
+impl Sample {
+    /// Whether the answer covers all shards.
+    pub fn full(&self) -> bool {
+        self.result.as_ref().is_ok_and(|it| it.total > 0 && it.covered == it.total)
+    }
+
+    /// Whether the system refused the query.
+    pub fn rejected(&self) -> bool {
+        self.result.as_ref().is_err_and(|it| it.outcome() == Outcome::NotRun)
+    }
+}
+
+/// Runs the load and waits for all answers.
+pub async fn run<S: System>(system: Arc<S>, load: &Load) -> Vec<Sample> {
+    let start = Instant::now();
+    let mut running = JoinSet::new();
+    for (at, stream, text) in arrivals(load) {
+        tokio::time::sleep_until((start + at).into()).await;
+        let query = Query {
+            group: load.group.clone(),
+            kind: stream.kind.clone(),
+            text: text.clone(),
+            deadline_ms: stream.deadline_ms,
+        };
+        let (system, class) = (system.clone(), stream.class);
+        running.spawn(async move {
+            let sent = Instant::now();
+            let result = system.query(&query).await;
+            Sample { class, text: query.text, at, latency: sent.elapsed(), result }
+        });
+    }
+    running.join_all().await
+}
+
+fn arrivals(load: &Load) -> Vec<(Duration, &Stream, &String)> {
+    let mut rng = SmallRng::seed_from_u64(load.seed);
+    let mut all = Vec::new();
+    for stream in load.streams.iter().filter(|it| it.qps > 0.0) {
+        let Ok(gap) = Exp::new(stream.qps) else { continue };
+        let mut at = gap.sample(&mut rng);
+        while at < load.duration.as_secs_f64() {
+            all.push((Duration::from_secs_f64(at), stream, pick(&mut rng, &stream.texts)));
+            at += gap.sample(&mut rng);
+        }
+    }
+    all.sort_by_key(|it| it.0);
+    all
+}
+
+fn pick<'a>(rng: &mut impl Rng, texts: &'a [String]) -> &'a String {
+    &texts[rng.random_range(0..texts.len())]
+}
+
+/// The rows of one version that match one text.
+type Scan = Arc<Vec<Row>>;
+
+/// The rows that answers must have, by direct scan. Scans are kept, because queries repeat.
+pub struct Expected {
+    dataset: Dataset,
+    index: String,
+    scans: Mutex<HashMap<(u64, String), Scan>>,
+}
+
+impl Expected {
+    /// Nothing scanned yet.
+    pub fn new(dataset: Dataset, index: &str) -> Self {
+        Self { dataset, index: index.into(), scans: Mutex::default() }
+    }
+
+    /// Whether the answer has the rows of its version and its covered shards, and no others.
+    pub fn correct(&self, text: &str, answer: &Answer) -> bool {
+        let key = (answer.version, text.to_owned());
+        let mut scans = self.scans.lock();
+        let whole = scans.entry(key).or_insert_with(|| {
+            Arc::new(naive::scan(self.dataset, &self.index, answer.version, text))
+        });
+        naive::correct(answer, whole)
+    }
+}
--- /dev/null
+++ b/src/lab/measure/bench.rs
@@ -0,0 +1,209 @@
+//! A fleet of one user's shape, the naive system and the current one on it.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use crate::{
+    lab::{
+        caller::Caller,
+        dataset::Dataset,
+        fleet::{Binaries, Fleet},
+        load::{Callers, Expected, Load, Stream, System},
+        naive_system::{Layout, NaiveSystem},
+        shape::Shape,
+        target::fault::{Fault, Steering, Step},
+    },
+    wire::{caller::Query, owner::Class},
+};
+
+/// Rows of each version: few enough that the targets' JSON does not take more CPU time than the system.
+pub const ROWS: u64 = 1_000;
+
+/// The seed of data set and loads.
+pub const SEED: u64 = 11;
+
+/// The load under normal conditions, as a share of the capacity.
+const NORMAL_LOAD: f64 = 0.3;
+
+/// How many callers take turns.
+const CALLERS: usize = 12;
+
+/// How many different texts quick queries have.
+const QUICK_TEXTS: u64 = 100;
+
+/// How many different texts broad queries have.
+const BROAD_TEXTS: u64 = 8;
+
+const QUICK_DEADLINE_MS: u64 = 400;
+const BROAD_DEADLINE_MS: u64 = 1_000;
+
+/// How long the system may take to answer in full again.
+const RECOVERY: Duration = Duration::from_secs(8);
+
+/// Full answers in a row that count as recovered.
+const RECOVERED_ANSWERS: u32 = 5;
+
+/// Which system is measured.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Measured {
+    /// The baseline.
+    Naive,
+    /// The system of this repository.
+    Current,
+}
+
+/// Everything that one workload needs.
+pub struct Bench {
+    /// The shape of the workload.
+    pub shape: Shape,
+    /// The processes.
+    pub fleet: Fleet,
+    /// The baseline.
+    pub naive: Arc<NaiveSystem>,
+    /// The current system.
+    pub current: Arc<Callers>,
+    /// The right rows.
+    pub expected: Expected,
+    version: AtomicU64,
+    naive_turn: AtomicBool,
+}
+
+impl Bench {
+    /// Starts the fleet and makes the configuration.
+    pub async fn start(
+        shape: Shape,
+        binaries: Binaries,
+        entries: usize,
+        warm_after_ms: u64,
+    ) -> eyre::Result<Self> {
+        let plan = shape.plan(binaries, SEED, ROWS, entries, warm_after_ms);
+        let fleet = Fleet::start(plan).await?;
+        let operator = &fleet.operator;
+        operator.admit_all(shape.service, shape.index, &[shape.quick, shape.broad]).await?;
+        operator.set_label(&format!("kind/{}", shape.quick), "class", "quick").await?;
+        let callers = (0..CALLERS).map(|it| fleet.caller(&format!("caller-{it}"))).collect();
+        let bench = Self {
+            shape,
+            naive: Arc::new(NaiveSystem::new(shape.index, Layout::default())),
+            current: Arc::new(Callers::new(callers)),
+            expected: Expected::new(Dataset { seed: SEED, rows: ROWS }, shape.index),
+            version: AtomicU64::new(1),
+            naive_turn: AtomicBool::new(false),
+            fleet,
+        };
+        bench.naive.set_layout(bench.layout(1));
+        bench.recovered().await?;
+        Ok(bench)
+    }
+
+    /// The load of a scenario. `factor` multiplies the whole load by raising the broad queries alone.
+    pub fn load(&self, duration: Duration, factor: f64, fresh_texts: Option<u64>) -> Load {
+        let dataset = Dataset { seed: SEED, rows: ROWS };
+        let (shape, index) = (&self.shape, self.shape.index);
+        let normal = shape.capacity_qps() * NORMAL_LOAD;
+        let quick_qps = normal * shape.quick_share;
+        let quick_texts = match fresh_texts {
+            None => (0..QUICK_TEXTS).map(|it| dataset.narrow_text(index, it)).collect(),
+            Some(run) => fresh(dataset, index, run, quick_qps * duration.as_secs_f64()),
+        };
+        let quick = Stream {
+            class: Class::Quick,
+            kind: shape.quick.into(),
+            qps: quick_qps,
+            texts: quick_texts,
+            deadline_ms: QUICK_DEADLINE_MS,
+        };
+        let broad = Stream {
+            class: Class::Broad,
+            kind: shape.broad.into(),
+            qps: factor * normal - quick_qps,
+            texts: (0..BROAD_TEXTS).map(|it| dataset.broad_text(index, it)).collect(),
+            deadline_ms: BROAD_DEADLINE_MS,
+        };
+        let seed = SEED + duration.as_millis() as u64;
+        Load { group: shape.service.into(), streams: vec![quick, broad], duration, seed }
+    }
+
+    /// By how much the normal load must be multiplied to reach twice the capacity.
+    pub fn overload_factor() -> f64 {
+        2.0 / NORMAL_LOAD
+    }
+
+    /// Says which system is measured from now on.
+    pub fn set_measured(&self, measured: Measured) {
+        self.naive_turn.store(measured == Measured::Naive, Ordering::Relaxed);
+    }
+
+    /// Sends the crashing request to the system that is measured.
+    pub async fn send_poison(&self, caller: &Caller, query: &Query) {
+        if self.naive_turn.load(Ordering::Relaxed) {
+            let _ = self.naive.query(query).await;
+        } else {
+            let _ = caller.query(query).await;
+        }
+    }
+
+    /// Starts a new version.
+    pub fn next_version(&self) -> u64 {
+        self.version.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Lets the targets of a zone hold a version and nothing else.
+    pub async fn hold(&self, zone: &str, version: u64) -> eyre::Result<()> {
+        let process = &self.fleet.targets[0];
+        let steps = self.fleet.plan.targets[0].iter().filter(|it| it.zone == zone).map(|it| {
+            let holdings = self.shape.holdings(version, it.holdings[0].shard);
+            Step { targets: vec![it.name.clone()], fault: Fault::Hold { holdings } }
+        });
+        self.fleet.steer(process, Steering { steps: steps.collect() }).await
+    }
+
+    /// Where the shards of a version are.
+    pub fn layout(&self, version: u64) -> Layout {
+        let mut replicas = vec![Vec::new(); self.shape.shards_of(version) as usize];
+        for target in &self.fleet.plan.targets[0] {
+            for holding in self.shape.holdings(version, target.holdings[0].shard) {
+                replicas[holding.shard as usize].push(target.listen);
+            }
+        }
+        Layout { version, replicas }
+    }
+
+    /// Ends all faults and waits until the system answers in full.
+    pub async fn recovered(&self) -> eyre::Result<()> {
+        self.fleet.fault(&[], Fault::Heal).await?;
+        let query = Query {
+            group: self.shape.service.into(),
+            kind: self.shape.quick.into(),
+            text: "Sinclair".into(),
+            deadline_ms: BROAD_DEADLINE_MS,
+        };
+        let end = Instant::now() + RECOVERY;
+        let mut in_a_row = 0;
+        while in_a_row < RECOVERED_ANSWERS {
+            let answer = self.current.query(&query).await;
+            let full = answer.as_ref().is_ok_and(|it| it.total > 0 && it.covered == it.total);
+            in_a_row = if full { in_a_row + 1 } else { 0 };
+            if Instant::now() > end {
+                eyre::bail!("no full answers {RECOVERY:?} after the last fault: {answer:?}");
+            }
+            if !full {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Texts that no earlier run used.
+fn fresh(dataset: Dataset, index: &str, run: u64, expected_queries: f64) -> Vec<String> {
+    let texts = |it| format!("{} r{run} n{it}", dataset.narrow_text(index, it));
+    // Drawn at random from ten times as many, so that few are drawn twice.
+    (0..(expected_queries * 10.0) as u64).map(texts).collect()
+}
--- /dev/null
+++ b/src/lab/measure/report.rs
@@ -0,0 +1,140 @@
+//! One line of figures per workload, scenario and system.
+
+use std::{collections::BTreeMap, fmt, time::Duration};
+
+use hdrhistogram::Histogram;
+
+use crate::{
+    lab::{
+        load::{Expected, Sample},
+        target::fault::TargetStats,
+    },
+    wire::owner::Class,
+};
+
+/// The longest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
+
+/// Counts of one workload, scenario and system, over all slices.
+pub struct Tally {
+    latency: Histogram<u64>,
+    queries: u64,
+    answered: u64,
+    full: u64,
+    covered: u64,
+    total: u64,
+    rejected: u64,
+    failed: u64,
+    wrong: u64,
+    quick: u64,
+    quick_full: u64,
+    worst_second: f64,
+    sent: u64,
+    needed: u64,
+    overload_max: u64,
+    crashes: u64,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        let latency = Histogram::new_with_bounds(1, MAX_LATENCY_US, 3).expect("valid bounds");
+        Self {
+            latency,
+            queries: 0,
+            answered: 0,
+            full: 0,
+            covered: 0,
+            total: 0,
+            rejected: 0,
+            failed: 0,
+            wrong: 0,
+            quick: 0,
+            quick_full: 0,
+            worst_second: 1.0,
+            sent: 0,
+            needed: 0,
+            overload_max: 0,
+            crashes: 0,
+        }
+    }
+}
+
+impl Tally {
+    /// Adds the queries of a slice.
+    pub fn add_samples(&mut self, samples: &[Sample], expected: &Expected, shards: u32) {
+        let mut seconds: BTreeMap<u64, (u64, u64)> = BTreeMap::new();
+        for it in samples {
+            self.queries += 1;
+            let second = seconds.entry(it.at.as_secs()).or_default();
+            second.0 += 1;
+            second.1 += u64::from(it.full());
+            self.full += u64::from(it.full());
+            if it.class == Class::Quick {
+                self.quick += 1;
+                self.quick_full += u64::from(it.full());
+            }
+            self.rejected += u64::from(it.rejected());
+            match &it.result {
+                Ok(answer) => {
+                    self.answered += 1;
+                    self.covered += u64::from(answer.covered);
+                    self.total += u64::from(answer.total);
+                    self.needed += u64::from(answer.total);
+                    self.wrong += u64::from(!expected.correct(&it.text, answer));
+                    self.latency.saturating_record(it.latency.as_micros() as u64);
+                }
+                Err(_) if it.rejected() => {}
+                Err(_) => {
+                    self.failed += 1;
+                    self.needed += u64::from(shards);
+                }
+            }
+        }
+        let served = seconds.values().map(|(all, full)| *full as f64 / *all as f64);
+        self.worst_second = served.fold(self.worst_second, f64::min);
+    }
+
+    /// Adds what the targets counted in a slice.
+    pub fn add_stats(&mut self, before: &[TargetStats], after: &[TargetStats]) {
+        for (before, after) in before.iter().zip(after) {
+            self.sent += after.started - before.started;
+            self.overload_max = self.overload_max.max(after.overload - before.overload);
+            self.crashes += after.crashes - before.crashes;
+        }
+    }
+
+    /// Answers that differ from the direct scan.
+    pub fn wrong(&self) -> u64 {
+        self.wrong
+    }
+
+    fn quantile_ms(&self, quantile: f64) -> f64 {
+        Duration::from_micros(self.latency.value_at_quantile(quantile)).as_secs_f64() * 1e3
+    }
+}
+
+impl fmt::Display for Tally {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let share = |part: u64, all: u64| if all == 0 { 0.0 } else { part as f64 / all as f64 };
+        write!(
+            f,
+            "queries={} p50_ms={:.1} p99_ms={:.1} p999_ms={:.1} coverage={:.4} full_answers={:.4} \
+             extra_load={:.3} overload_max={} rejected={} wrong={} failed={} quick_full={:.4} \
+             worst_second_full={:.3} crashes={}",
+            self.queries,
+            self.quantile_ms(0.5),
+            self.quantile_ms(0.99),
+            self.quantile_ms(0.999),
+            share(self.covered, self.total),
+            share(self.full, self.queries),
+            share(self.sent, self.needed) - 1.0,
+            self.overload_max,
+            self.rejected,
+            self.wrong,
+            self.failed,
+            share(self.quick_full, self.quick),
+            self.worst_second,
+            self.crashes,
+        )
+    }
+}
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -3,9 +3,15 @@
 
 pub mod caller;
 pub mod dataset;
+pub mod demo;
 pub mod fleet;
 pub mod http;
+pub mod load;
+pub mod measure;
 pub mod naive;
+pub mod naive_system;
 pub mod operator;
 pub mod relay;
+pub mod shape;
+pub mod slope;
 pub mod target;
--- /dev/null
+++ b/src/lab/naive_system.rs
@@ -0,0 +1,104 @@
+//! The naive system, the baseline of the measurements: the client itself sends each query once to a random replica
+//! of each shard, without limits, hedged requests or retries.
+
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use futures::future::join_all;
+use parking_lot::RwLock;
+use rand::random_range;
+
+use crate::{
+    error::{Kind, Outcome},
+    lab::{caller::Error, http::Client, load::System},
+    wire::{
+        caller::{Answer, Missing, Query, Row},
+        target::{Sub, SubAnswer},
+    },
+};
+
+/// The version that the naive system uses, and where its shards are.
+#[derive(Clone, Debug, Default)]
+pub struct Layout {
+    /// The version.
+    pub version: u64,
+    /// The replicas of each shard.
+    pub replicas: Vec<Vec<SocketAddr>>,
+}
+
+/// The naive system.
+pub struct NaiveSystem {
+    index: String,
+    layout: RwLock<Layout>,
+    client: Client,
+    next_id: AtomicU64,
+}
+
+impl NaiveSystem {
+    /// Makes a system that knows this layout until it is told another one.
+    pub fn new(index: &str, layout: Layout) -> Self {
+        Self {
+            index: index.into(),
+            layout: RwLock::new(layout),
+            client: Client::default(),
+            next_id: AtomicU64::new(1),
+        }
+    }
+
+    /// Replaces the layout.
+    pub fn set_layout(&self, layout: Layout) {
+        *self.layout.write() = layout;
+    }
+
+    async fn ask(&self, addr: SocketAddr, sub: &Sub) -> Result<Vec<Row>, Kind> {
+        let timeout = Duration::from_millis(sub.deadline_ms);
+        let answer: SubAnswer =
+            self.client.post(addr, "/v1/sub", sub, timeout).await.map_err(|_| Kind::Timeout)?;
+        let matches = answer.version == sub.version
+            && answer.shard == sub.shard
+            && answer.count == answer.rows.len();
+        if matches { Ok(answer.rows) } else { Err(Kind::BadAnswer) }
+    }
+}
+
+impl System for NaiveSystem {
+    async fn query(&self, query: &Query) -> Result<Answer, Error> {
+        let layout = self.layout.read().clone();
+        let subs = layout.replicas.iter().enumerate().map(|(shard, replicas)| {
+            let sub = Sub {
+                id: self.next_id.fetch_add(1, Ordering::Relaxed),
+                index: self.index.clone(),
+                version: layout.version,
+                shard: shard as u32,
+                kind: query.kind.clone(),
+                text: query.text.clone(),
+                deadline_ms: query.deadline_ms,
+            };
+            let addr = replicas[random_range(0..replicas.len())];
+            async move { (sub.shard, self.ask(addr, &sub).await) }
+        });
+        let mut answer = Answer {
+            request_id: String::new(),
+            outcome: Outcome::Done,
+            version: layout.version,
+            covered: 0,
+            total: layout.replicas.len() as u32,
+            missing: Vec::new(),
+            rows: Vec::new(),
+        };
+        for (shard, result) in join_all(subs).await {
+            match result {
+                Ok(rows) => {
+                    answer.covered += 1;
+                    answer.rows.extend(rows);
+                }
+                Err(reason) => answer.missing.push(Missing { shard, reason }),
+            }
+        }
+        answer.rows.sort();
+        Ok(answer)
+    }
+}
--- /dev/null
+++ b/src/lab/shape.rs
@@ -0,0 +1,128 @@
+//! The two users' main services, at the size of one machine.
+
+use crate::{
+    lab::fleet::{Binaries, HostPlan, Plan, Service, template},
+    settings::TargetSpec,
+    state::Holding,
+};
+
+/// One user's service and the queries that it gets.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// The name in reports.
+    pub workload: &'static str,
+    /// Availability zones.
+    pub zones: [&'static str; 3],
+    /// The service, which is also the name of its group.
+    pub service: &'static str,
+    /// The index of the service.
+    pub index: &'static str,
+    /// The kind of short requests that somebody waits for.
+    pub quick: &'static str,
+    /// The kind of searches that may wait.
+    pub broad: &'static str,
+    /// The share of quick requests under normal conditions.
+    pub quick_share: f64,
+    /// Shards; each has a replica in each zone.
+    pub shards: u32,
+    /// Slots of each target.
+    pub slots: u32,
+    /// What a cold target bears.
+    pub warm_up: u32,
+    /// Connections of each target.
+    pub connections: u32,
+    /// What a connection costs, in milliseconds.
+    pub connect_ms: u64,
+    /// The median service time, in microseconds. Long enough for twice the capacity to fit on this machine.
+    pub service_us: u64,
+}
+
+/// The label designer of Cubbyhole Marks Ltd.
+pub const CUBBYHOLE: Shape = Shape {
+    workload: "cubbyhole",
+    zones: ["tayside-a", "lothian-a", "highland-a"],
+    service: "label-designer",
+    index: "labels",
+    quick: "label-search",
+    broad: "customer-search",
+    quick_share: 0.8,
+    shards: 10,
+    slots: 3,
+    warm_up: 1,
+    connections: 30,
+    connect_ms: 6,
+    service_us: 20_000,
+};
+
+/// The album portal of Suomen Hääkuva-albumien Liitto ry.
+pub const ASSOCIATION: Shape = Shape {
+    workload: "association",
+    zones: ["hki-kallio", "tre-hervanta", "oulu-linnanmaa"],
+    service: "albumiportaali",
+    index: "proofs",
+    quick: "couple-lookup",
+    broad: "proof-search",
+    quick_share: 0.4,
+    shards: 10,
+    slots: 6,
+    warm_up: 2,
+    connections: 50,
+    connect_ms: 6,
+    service_us: 30_000,
+};
+
+impl Shape {
+    /// How many queries per second all targets together can serve.
+    pub fn capacity_qps(&self) -> f64 {
+        let slots = self.zones.len() as f64 * f64::from(self.slots);
+        slots / (self.service_us as f64 / 1e6)
+    }
+
+    /// A fleet of this shape: three control hosts, some entry hosts and one process of targets.
+    pub fn plan(
+        &self,
+        binaries: Binaries,
+        seed: u64,
+        rows: u64,
+        entries: usize,
+        warm_after_ms: u64,
+    ) -> Plan {
+        let mut plan = Plan::new(binaries, seed, rows);
+        plan.controls = hosts("control", 3, &self.zones);
+        plan.entries = hosts("entry", entries, &self.zones);
+        let targets = self.targets(&mut plan, warm_after_ms);
+        plan.targets.push(targets);
+        plan
+    }
+
+    /// The targets of the service.
+    pub fn targets(&self, plan: &mut Plan, warm_after_ms: u64) -> Vec<TargetSpec> {
+        let limits = template(self.slots, self.connections, self.connect_ms, self.service_us);
+        let service = Service {
+            name: self.service.into(),
+            index: self.index.into(),
+            shards: self.shards,
+            template: TargetSpec { warm_up: self.warm_up, warm_after_ms, ..limits },
+        };
+        service.targets(plan, &self.zones)
+    }
+
+    /// The shards of a version: every second version is split into half as many more.
+    pub fn shards_of(&self, version: u64) -> u32 {
+        if version.is_multiple_of(2) { self.shards + self.shards / 2 } else { self.shards }
+    }
+
+    /// What the target that was started with this shard holds of a version.
+    pub fn holdings(&self, version: u64, shard: u32) -> Vec<Holding> {
+        let shards = self.shards_of(version);
+        (shard..shards)
+            .step_by(self.shards as usize)
+            .map(|shard| Holding { index: self.index.into(), version, shard, shards })
+            .collect()
+    }
+}
+
+/// Hosts that are spread over the zones.
+pub fn hosts(prefix: &str, count: usize, zones: &[&str]) -> Vec<HostPlan> {
+    (0..count).map(|i| HostPlan::new(format!("{prefix}-{i}"), zones[i % zones.len()])).collect()
+}
--- /dev/null
+++ b/src/lab/slope.rs
@@ -0,0 +1,129 @@
+//! CPU time of the entry hosts per sub-request, over the fan-out of a query.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    lab::{
+        dataset::Dataset,
+        fleet::{Binaries, Fleet, Plan, Service, template},
+        load::System,
+        shape::hosts,
+    },
+    wire::caller::Query,
+};
+
+const ZONE: &str = "tayside-a";
+const KIND: &str = "label-search";
+const SERVICE: &str = "label-designer";
+const ROWS: u64 = 2_000;
+const SEED: u64 = 3;
+
+/// How many queries run at once: enough to keep entry hosts busy, few enough for the targets' slots.
+const CONCURRENCY: usize = 2;
+
+/// How long the fleet may take to own all targets and answer in full.
+const START: Duration = Duration::from_secs(15);
+
+/// What is measured.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The fan-outs.
+    pub fan_outs: Vec<u32>,
+    /// Entry hosts.
+    pub entries: usize,
+    /// How long each fan-out is measured.
+    pub duration: Duration,
+}
+
+/// Measures each fan-out with a fleet of its own and prints a line.
+pub async fn run(binaries: Binaries, options: Options) -> eyre::Result<()> {
+    for &fan_out in &options.fan_outs {
+        let fleet = start(binaries.clone(), fan_out, options.entries).await?;
+        measure(&fleet, fan_out, options.duration).await?;
+    }
+    Ok(())
+}
+
+async fn start(binaries: Binaries, fan_out: u32, entries: usize) -> eyre::Result<Fleet> {
+    let mut plan = Plan::new(binaries, SEED, ROWS);
+    plan.controls = hosts("control", 3, &[ZONE]);
+    plan.entries = hosts("entry", entries, &[ZONE]);
+    let service = Service {
+        name: SERVICE.into(),
+        index: "labels".into(),
+        shards: fan_out,
+        template: template(4, 30, 0, 1_000),
+    };
+    let targets = service.targets(&mut plan, &[ZONE]);
+    plan.targets.push(targets);
+    let fleet = Fleet::start(plan).await?;
+    fleet.operator.admit_all(SERVICE, "labels", &[KIND]).await?;
+    fleet.operator.set_label(&format!("kind/{KIND}"), "class", "quick").await?;
+    Ok(fleet)
+}
+
+async fn measure(fleet: &Fleet, fan_out: u32, duration: Duration) -> eyre::Result<()> {
+    let dataset = Dataset { seed: SEED, rows: ROWS };
+    let query = Query {
+        group: SERVICE.into(),
+        kind: KIND.into(),
+        text: dataset.narrow_text("labels", 1),
+        deadline_ms: 2_000,
+    };
+    let caller = Arc::new(crate::lab::load::Callers::new(
+        (0..CONCURRENCY).map(|it| fleet.caller(&format!("caller-{it}"))).collect(),
+    ));
+    until_full(&*caller, &query).await?;
+    let (cpu, started) = (cpu(fleet)?, started(fleet).await?);
+    let end = Instant::now() + duration;
+    let workers = (0..CONCURRENCY).map(|_| {
+        let (caller, query) = (caller.clone(), query.clone());
+        async move {
+            let (mut queries, mut full) = (0, 0);
+            while Instant::now() < end {
+                let answer = caller.query(&query).await;
+                queries += 1;
+                full += u32::from(answer.is_ok_and(|it| it.covered == it.total));
+            }
+            (queries, full)
+        }
+    });
+    let counts = futures::future::join_all(workers).await;
+    let queries: u32 = counts.iter().map(|it| it.0).sum();
+    let full: u32 = counts.iter().map(|it| it.1).sum();
+    let cpu = self::cpu(fleet)? - cpu;
+    let subs = self::started(fleet).await? - started;
+    let per_sub = cpu.as_secs_f64() * 1e6 / subs.max(1) as f64;
+    println!(
+        "fan_out={fan_out} entries={} queries={queries} full={full} sub_requests={subs} \
+         cpu_ms={} cpu_us_per_sub={per_sub:.1}",
+        fleet.entries.len(),
+        cpu.as_millis(),
+    );
+    Ok(())
+}
+
+async fn until_full(caller: &impl System, query: &Query) -> eyre::Result<()> {
+    let end = Instant::now() + START;
+    let mut in_a_row = 0;
+    while in_a_row < 5 {
+        let answer = caller.query(query).await;
+        let full = answer.as_ref().is_ok_and(|it| it.total > 0 && it.covered == it.total);
+        in_a_row = if full { in_a_row + 1 } else { 0 };
+        if Instant::now() > end {
+            eyre::bail!("no full answers after {START:?}: {answer:?}");
+        }
+    }
+    Ok(())
+}
+
+fn cpu(fleet: &Fleet) -> eyre::Result<Duration> {
+    fleet.entries.iter().map(|it| it.process.cpu_time()).sum()
+}
+
+async fn started(fleet: &Fleet) -> eyre::Result<u64> {
+    Ok(fleet.stats().await?.iter().map(|it| it.started).sum())
+}
--- a/src/lab/target/fault.rs
+++ b/src/lab/target/fault.rs
@@ -101,7 +101,7 @@
     },
     /// Sets `since_mark` to 0.
     Mark,
-    /// Ends `slow`, `straggle`, `stall`, `crash_on`, `damage` and `lie`, and announces itself.
+    /// Ends `slow`, `straggle`, `stall`, `crash_on`, `damage` and `lie`, announces itself and is warm.
     Heal,
 }
 
--- a/src/lab/target/gate.rs
+++ b/src/lab/target/gate.rs
@@ -112,6 +112,13 @@
         state.collapsed_until = None;
     }
 
+    /// Makes the target warm and as fast as normal.
+    pub fn heal(&self, now: Instant) {
+        let mut state = self.state.lock();
+        state.warm_at = now;
+        state.collapsed_until = None;
+    }
+
     /// Sets what happens to requests above the limit.
     pub fn set_excess(&self, excess: Excess) {
         self.state.lock().excess = excess;
--- a/src/lab/target/host.rs
+++ b/src/lab/target/host.rs
@@ -306,6 +306,7 @@
         switches.lie = None;
         drop(switches);
         self.stalled.send_replace(false);
+        self.gate.heal(Instant::now());
     }
 
     async fn reopen(&self) -> TcpListener {
--- a/tests/lab/main.rs
+++ b/tests/lab/main.rs
@@ -2,5 +2,6 @@
 
 mod dataset;
 mod fleet;
+mod naive_system;
 mod relay;
 mod target;
--- /dev/null
+++ b/tests/lab/naive_system.rs
@@ -0,0 +1,72 @@
+//! The baseline and the load generator, against a process of targets.
+
+use std::{sync::Arc, time::Duration};
+
+use gentianpass::{
+    lab::{
+        dataset::Dataset,
+        fleet::{Binaries, Fleet, Plan, template},
+        load::{self, Expected, Load, Stream},
+        naive_system::{Layout, NaiveSystem},
+        shape::{CUBBYHOLE, Shape},
+        target::fault::{Damage, Fault},
+    },
+    wire::owner::Class,
+};
+
+const DATASET: Dataset = Dataset { seed: 5, rows: 500 };
+
+fn load(duration: Duration) -> Load {
+    let stream = Stream {
+        class: Class::Quick,
+        kind: "label-search".into(),
+        qps: 100.0,
+        texts: (0..5).map(|it| DATASET.narrow_text("labels", it)).collect(),
+        deadline_ms: 1_000,
+    };
+    Load { group: "label-designer".into(), streams: vec![stream], duration, seed: 1 }
+}
+
+/// Guards against a baseline whose figures are void because its answers are not whole or not right, and against a
+/// comparison that lets damaged answers pass.
+#[tokio::test]
+async fn answers_checked() {
+    let shape = Shape { shards: 4, service_us: 1_000, ..CUBBYHOLE };
+    let binaries = Binaries::beside(env!("CARGO_BIN_EXE_gentianpass-target"));
+    let mut plan = Plan::new(binaries, DATASET.seed, DATASET.rows);
+    let targets = shape.targets(&mut plan, 0);
+    let replicas = targets.chunks(3).map(|it| it.iter().map(|it| it.listen).collect()).collect();
+    plan.targets.push(targets);
+    let fleet = Fleet::start(plan).await.expect("fleet");
+    let naive = Arc::new(NaiveSystem::new("labels", Layout { version: 1, replicas }));
+    let expected = Expected::new(DATASET, "labels");
+
+    let samples = load::run(naive.clone(), &load(Duration::from_millis(300))).await;
+    assert!(samples.len() > 10, "{} samples", samples.len());
+    for it in &samples {
+        let answer = it.result.as_ref().expect("answer");
+        assert!(it.full() && expected.correct(&it.text, answer), "{it:?}");
+    }
+
+    let damaged = Fault::Damage { damage: Some(Damage::Truncated) };
+    fleet.fault(&[], damaged).await.expect("fault");
+    let samples = load::run(naive, &load(Duration::from_millis(100))).await;
+    for it in &samples {
+        let answer = it.result.as_ref().expect("answer");
+        assert!(answer.covered == 0 && expected.correct(&it.text, answer), "{it:?}");
+    }
+}
+
+/// Guards against layouts in which a shard of the next version has no target.
+#[test]
+fn holdings_cover_versions() {
+    for version in 1..4 {
+        let shards = CUBBYHOLE.shards_of(version);
+        let of = |shard| CUBBYHOLE.holdings(version, shard);
+        let mut held: Vec<_> = (0..CUBBYHOLE.shards).flat_map(of).map(|it| it.shard).collect();
+        held.sort_unstable();
+        assert_eq!(held, (0..shards).collect::<Vec<_>>());
+    }
+    let warm = template(3, 30, 6, 1_000);
+    assert!(warm.warm_up <= warm.slots);
+}
