--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod entry;
 pub mod error;
 pub mod event;
+pub mod lab;
 pub mod lease;
 pub mod metric;
 pub mod owner;
--- /dev/null
+++ b/tests/lab/main.rs
@@ -0,0 +1,7 @@
+//! The stand-ins that all other tests rely on: data set, targets, relay.
+
+mod dataset;
+mod fleet;
+mod naive_system;
+mod relay;
+mod target;
