--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod lease;
 pub mod metric;
 pub mod policy;
+pub mod raft;
 pub mod settings;
 pub mod state;
 pub mod trace;
--- /dev/null
+++ b/src/raft/membership.rs
@@ -0,0 +1,112 @@
+//! The members and changes of them, one at a time.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::raft::{Core, Member, MemberId, Payload, core::State, progress::Progress};
+
+/// How many entries a learner may lack when it becomes a voter.
+const MAX_LAG_ENTRIES: u64 = 64;
+
+/// All members.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Membership {
+    /// The members by identity.
+    pub members: BTreeMap<MemberId, Member>,
+}
+
+impl Membership {
+    /// The identities of all voters.
+    pub fn voters(&self) -> impl Iterator<Item = MemberId> {
+        self.members.iter().filter(|(_, it)| it.voter).map(|(id, _)| *id)
+    }
+
+    /// Whether this member votes.
+    pub fn is_voter(&self, id: MemberId) -> bool {
+        self.members.get(&id).is_some_and(|it| it.voter)
+    }
+
+    /// Whether more than half of the voters satisfy the condition.
+    pub fn quorum(&self, mut holds: impl FnMut(MemberId) -> bool) -> bool {
+        let total = self.voters().count();
+        total > 0 && self.voters().filter(|&it| holds(it)).count() > total / 2
+    }
+
+    /// The membership after a change; none if the change does not apply.
+    fn after(&self, change: &MemberChange) -> Option<Self> {
+        let mut next = self.clone();
+        match change {
+            MemberChange::AddLearner(id, member) => {
+                let voter = self.is_voter(*id);
+                let replaces = self.members.get(id).and_then(|it| it.replaces);
+                next.members.insert(*id, Member { voter, replaces, ..member.clone() });
+            }
+            MemberChange::Promote { id, replaces } => {
+                let member = next.members.get_mut(id).filter(|it| !it.voter)?;
+                member.voter = true;
+                member.replaces = Some(*replaces);
+            }
+            MemberChange::Demote(id) => {
+                next.members.get_mut(id).filter(|it| it.voter)?.voter = false;
+                next.members.values_mut().for_each(|it| {
+                    it.replaces.take_if(|replaced| replaced == id);
+                });
+            }
+            MemberChange::Remove(id) => {
+                next.members.remove(id).filter(|it| !it.voter)?;
+            }
+        }
+        (next != *self && next.voters().next().is_some()).then_some(next)
+    }
+}
+
+/// A change of the membership. Each changes at most one voter.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MemberChange {
+    /// Adds a learner, or updates name, zone and address of a member.
+    AddLearner(MemberId, Member),
+    /// Makes a caught-up learner a voter.
+    Promote {
+        /// The learner.
+        id: MemberId,
+        /// The voter whose place it takes.
+        replaces: MemberId,
+    },
+    /// Makes a voter a learner.
+    Demote(MemberId),
+    /// Removes a learner.
+    Remove(MemberId),
+}
+
+impl Core {
+    /// Appends a membership, unless this member does not lead, another change is not committed yet, or the change does
+    /// not apply.
+    pub(super) fn change_members(&mut self, now_ms: u64, change: &MemberChange) {
+        let State::Leader(leader) = &self.state else { return };
+        if !self.leads_committed_term() || self.log.membership_index() > self.commit {
+            return;
+        }
+        if let MemberChange::Promote { id, .. } = change {
+            let matched = leader.progress.get(id).map_or(0, |it| it.matched);
+            if matched + MAX_LAG_ENTRIES < self.log.last().0 {
+                return;
+            }
+        }
+        let Some(next) = self.log.membership().after(change) else { return };
+        self.append(Payload::Membership(next));
+        self.sync_progress(now_ms);
+        self.broadcast(now_ms);
+    }
+
+    /// Brings the leader's view of its followers in line with the membership.
+    pub(super) fn sync_progress(&mut self, now_ms: u64) {
+        let State::Leader(leader) = &mut self.state else { return };
+        let members = &self.log.membership().members;
+        leader.progress.retain(|id, _| members.contains_key(id));
+        let next = self.log.last().0 + 1;
+        for id in members.keys() {
+            leader.progress.entry(*id).or_insert_with(|| Progress::new(next, now_ms));
+        }
+    }
+}
--- /dev/null
+++ b/src/raft/replication.rs
@@ -0,0 +1,236 @@
+//! Replication of the log from the leader to its followers.
+
+use crate::raft::{
+    Body, Core, Entry, Index, MemberId, Payload, Term,
+    core::{Leader, State},
+    progress::{Mode, Progress},
+};
+
+/// How many entries may be under way to a follower without an answer.
+const MAX_ENTRIES_AHEAD: u64 = 4_096;
+
+/// Why something is sent to a follower.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum Cause {
+    /// There may be new entries, or the commit index advanced.
+    Entries,
+    /// A round of confirmations started.
+    Round,
+    /// The heartbeat interval has passed, so that lost messages are sent again.
+    Heartbeat,
+}
+
+impl Core {
+    pub(super) fn propose(&mut self, now_ms: u64, commands: Vec<Vec<u8>>) {
+        if !matches!(self.state, State::Leader(_)) {
+            return;
+        }
+        for command in commands {
+            self.append(Payload::Data(command));
+        }
+        self.broadcast(now_ms);
+    }
+
+    pub(super) fn broadcast(&mut self, now_ms: u64) {
+        self.send_followers(now_ms, Cause::Entries);
+    }
+
+    pub(super) fn heartbeat(&mut self, now_ms: u64) {
+        if let State::Leader(leader) = &mut self.state {
+            leader.heartbeat_due_ms = now_ms + self.opts.heartbeat_ms;
+        }
+        self.send_followers(now_ms, Cause::Heartbeat);
+    }
+
+    pub(super) fn send_followers(&mut self, now_ms: u64, cause: Cause) {
+        let State::Leader(leader) = &self.state else { return };
+        let own = self.opts.id;
+        let ids: Vec<_> = leader.progress.keys().copied().filter(|it| *it != own).collect();
+        for id in ids {
+            self.send_follower(now_ms, id, cause);
+        }
+    }
+
+    /// Sends what a follower should get next. A follower that does not answer gets heartbeats without entries.
+    pub(super) fn send_follower(&mut self, now_ms: u64, id: MemberId, cause: Cause) {
+        let State::Leader(leader) = &mut self.state else { return };
+        let Some(progress) = leader.progress.get_mut(&id) else { return };
+        if matches!(progress.mode, Mode::Snapshot { .. }) {
+            return self.send_part(now_ms, id, cause);
+        }
+        if progress.paused && cause == Cause::Entries {
+            return;
+        }
+        if cause == Cause::Heartbeat && progress.heard_ms + 2 * self.opts.election_ms <= now_ms {
+            progress.mode = Mode::Probe;
+            progress.next = progress.matched + 1;
+            progress.paused = true;
+        }
+        let prev = progress.next - 1;
+        let full = progress.next > progress.matched + MAX_ENTRIES_AHEAD;
+        let Some(prev_term) = self.log.term(prev) else {
+            return self.start_snapshot(now_ms, id);
+        };
+        let last = self.log.last().0;
+        let max_bytes =
+            if progress.paused || full { None } else { Some(self.opts.max_message_bytes) };
+        let entries = max_bytes.map_or_else(
+            || Some(Vec::new()),
+            |max_bytes| self.log.slice(progress.next, last, max_bytes),
+        );
+        let Some(entries) = entries else { return self.start_snapshot(now_ms, id) };
+        match progress.mode {
+            Mode::Replicate => progress.next += entries.len() as u64,
+            Mode::Probe | Mode::Snapshot { .. } => progress.paused = true,
+        }
+        let (commit, round) = (self.commit, leader.round);
+        self.send_early(id, Body::Append { prev: (prev, prev_term), entries, commit, round });
+    }
+
+    /// Takes entries from the leader. An entry that differs is replaced together with all after it.
+    pub(super) fn take_entries(
+        &mut self,
+        from: MemberId,
+        prev: (Index, Term),
+        entries: Vec<Entry>,
+        commit: Index,
+        round: u64,
+    ) {
+        if prev.0 < self.commit {
+            return self.send(from, Body::Appended { matched: self.commit, round });
+        }
+        if self.log.term(prev.0) != Some(prev.1) {
+            let last = self.log.last().0;
+            let hint = if prev.0 > last {
+                last + 1
+            } else {
+                self.log.first_of_term(prev.0, self.commit + 1)
+            };
+            return self.send(from, Body::Mismatched { prev: prev.0, hint, round });
+        }
+        let matched = prev.0 + entries.len() as u64;
+        for entry in entries {
+            self.take_entry(entry);
+        }
+        self.commit = self.commit.max(commit.min(matched));
+        self.send(from, Body::Appended { matched, round });
+    }
+
+    fn take_entry(&mut self, entry: Entry) {
+        if self.log.term(entry.index) == Some(entry.term) {
+            return;
+        }
+        if entry.index <= self.log.last().0 {
+            assert!(entry.index > self.commit, "a committed entry is never replaced");
+            self.log.truncate(entry.index);
+        }
+        let from = self.unsaved.map_or(entry.index, |it| it.min(entry.index));
+        self.unsaved = Some(from);
+        self.log.push(entry);
+    }
+
+    pub(super) fn count_appended(
+        &mut self,
+        now_ms: u64,
+        from: MemberId,
+        matched: Index,
+        round: u64,
+    ) {
+        let last = self.log.last().0;
+        let State::Leader(leader) = &mut self.state else { return };
+        let Some(progress) = leader.hear(from, now_ms, round) else { return };
+        progress.matched = progress.matched.max(matched);
+        let arrived = match &progress.mode {
+            Mode::Snapshot { snapshot, .. } => matched >= snapshot.index,
+            Mode::Probe => true,
+            Mode::Replicate => false,
+        };
+        if arrived {
+            progress.mode = Mode::Replicate;
+            progress.next = progress.matched + 1;
+        }
+        if !matches!(progress.mode, Mode::Snapshot { .. }) {
+            progress.paused = false;
+            progress.next = progress.next.max(progress.matched + 1);
+        }
+        if progress.next <= last {
+            self.send_follower(now_ms, from, Cause::Entries);
+        }
+        self.advance_commit(now_ms);
+    }
+
+    pub(super) fn back_off(
+        &mut self,
+        now_ms: u64,
+        from: MemberId,
+        prev: Index,
+        hint: Index,
+        round: u64,
+    ) {
+        let State::Leader(leader) = &mut self.state else { return };
+        let Some(progress) = leader.hear(from, now_ms, round) else { return };
+        let answers_probe = prev + 1 == progress.next;
+        let stale = prev <= progress.matched
+            || matches!(progress.mode, Mode::Snapshot { .. })
+            || (matches!(progress.mode, Mode::Probe) && !answers_probe);
+        if stale {
+            return;
+        }
+        progress.mode = Mode::Probe;
+        progress.next = hint.clamp(progress.matched + 1, prev);
+        progress.paused = false;
+        self.send_follower(now_ms, from, Cause::Entries);
+    }
+
+    /// The leader's own entries count once they are durable.
+    pub(super) fn count_saved(&mut self, now_ms: u64) {
+        let last = self.log.last().0;
+        let own = self.opts.id;
+        let State::Leader(leader) = &mut self.state else { return };
+        if let Some(progress) = leader.progress.get_mut(&own) {
+            progress.matched = last;
+            progress.next = last + 1;
+            progress.heard_ms = now_ms;
+        }
+        self.advance_commit(now_ms);
+    }
+
+    /// Commits what a majority holds. Entries of earlier terms are committed only together with one of this term.
+    fn advance_commit(&mut self, now_ms: u64) {
+        let State::Leader(leader) = &self.state else { return };
+        let membership = self.log.membership();
+        let matched = |id: &MemberId| leader.progress.get(id).map_or(0, |it| it.matched);
+        let mut held: Vec<_> = membership.voters().map(|it| matched(&it)).collect();
+        held.sort_unstable();
+        let Some(&index) = held.get((held.len().max(1) - 1) / 2) else { return };
+        if index <= self.commit || self.log.term(index) != Some(self.hard.term) {
+            return;
+        }
+        self.commit = index;
+        self.broadcast(now_ms);
+        let own_is_voter = self.membership().is_voter(self.opts.id);
+        if !own_is_voter && self.log.membership_index() <= self.commit {
+            self.follow(now_ms, None);
+        }
+    }
+
+    /// Whether an entry of this leader's own term is committed, so that its commit index is current.
+    pub(super) fn leads_committed_term(&self) -> bool {
+        matches!(self.state, State::Leader(_)) && self.log.term(self.commit) == Some(self.hard.term)
+    }
+}
+
+impl Leader {
+    /// Records that a follower answered.
+    pub(super) fn hear(
+        &mut self,
+        from: MemberId,
+        now_ms: u64,
+        round: u64,
+    ) -> Option<&mut Progress> {
+        let progress = self.progress.get_mut(&from)?;
+        progress.heard_ms = now_ms;
+        progress.round = progress.round.max(round);
+        Some(progress)
+    }
+}
--- /dev/null
+++ b/src/raft/snapshot.rs
@@ -0,0 +1,115 @@
+//! Snapshots for followers that need entries which are no longer kept, sent in parts.
+
+use std::sync::Arc;
+
+use crate::raft::{
+    Action, Body, Core, Index, MemberId, Membership, Snapshot, Term, core::State, progress::Mode,
+    replication::Cause,
+};
+
+/// A snapshot that arrives in parts.
+pub(super) struct Incoming {
+    base: (Index, Term),
+    data: Vec<u8>,
+}
+
+impl Core {
+    pub(super) fn start_snapshot(&mut self, now_ms: u64, id: MemberId) {
+        let Some(snapshot) = self.log.snapshot().cloned() else { return };
+        let State::Leader(leader) = &mut self.state else { return };
+        let Some(progress) = leader.progress.get_mut(&id) else { return };
+        progress.mode = Mode::Snapshot { snapshot, received: 0 };
+        progress.paused = false;
+        self.send_part(now_ms, id, Cause::Entries);
+    }
+
+    /// Sends the next part. Parts are repeated only with heartbeats, and not to a follower that does not answer.
+    pub(super) fn send_part(&mut self, now_ms: u64, id: MemberId, cause: Cause) {
+        let State::Leader(leader) = &mut self.state else { return };
+        let round = leader.round;
+        let Some(progress) = leader.progress.get_mut(&id) else { return };
+        let Mode::Snapshot { snapshot, received } = &progress.mode else { return };
+        if progress.paused && cause == Cause::Entries {
+            return;
+        }
+        let silent = progress.heard_ms + self.opts.election_ms <= now_ms;
+        let start = (*received as usize).min(snapshot.data.len());
+        let end = if cause == Cause::Round || silent {
+            start
+        } else {
+            (start + self.opts.max_message_bytes).min(snapshot.data.len())
+        };
+        let body = Body::Snapshot {
+            index: snapshot.index,
+            term: snapshot.term,
+            membership: snapshot.membership.clone(),
+            total: snapshot.data.len() as u64,
+            offset: start as u64,
+            data: snapshot.data[start..end].to_vec(),
+            round,
+        };
+        progress.paused = true;
+        self.send_early(id, body);
+    }
+
+    pub(super) fn continue_snapshot(
+        &mut self,
+        now_ms: u64,
+        from: MemberId,
+        index: Index,
+        arrived: u64,
+        round: u64,
+    ) {
+        let State::Leader(leader) = &mut self.state else { return };
+        let Some(progress) = leader.hear(from, now_ms, round) else { return };
+        let Mode::Snapshot { snapshot, received } = &mut progress.mode else { return };
+        if snapshot.index != index || *received == arrived {
+            return;
+        }
+        *received = arrived;
+        progress.paused = false;
+        self.send_follower(now_ms, from, Cause::Entries);
+    }
+
+    /// Takes a part; the last one replaces the state.
+    #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
+    pub(super) fn take_part(
+        &mut self,
+        from: MemberId,
+        base: (Index, Term),
+        membership: &Membership,
+        total: u64,
+        offset: u64,
+        data: &[u8],
+        round: u64,
+    ) {
+        if base.0 <= self.commit {
+            return self.send(from, Body::Appended { matched: self.commit, round });
+        }
+        let mut incoming = match self.incoming.take() {
+            Some(it) if it.base == base => it,
+            _ => Incoming { base, data: Vec::new() },
+        };
+        if offset == incoming.data.len() as u64 {
+            incoming.data.extend_from_slice(data);
+        }
+        let received = incoming.data.len() as u64;
+        if received < total {
+            self.incoming = Some(incoming);
+            return self.send(from, Body::SnapshotPart { index: base.0, received, round });
+        }
+        let (index, term) = base;
+        let membership = membership.clone();
+        self.install(Snapshot { index, term, membership, data: incoming.data });
+        self.send(from, Body::Appended { matched: index, round });
+    }
+
+    fn install(&mut self, snapshot: Snapshot) {
+        let snapshot = Arc::new(snapshot);
+        self.commit = snapshot.index;
+        self.applied = snapshot.index;
+        let entries = self.log.restore(snapshot.clone());
+        self.installed.push(Action::SaveSnapshot(snapshot.clone(), entries));
+        self.installed.push(Action::Restore(snapshot));
+    }
+}
