--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod owner;
 pub mod peer;
 pub mod policy;
+pub mod raft;
 pub mod settings;
 pub mod state;
 pub mod trace;
