Test dispatch, lease, announcements and the planned stop of the entry host

Change: resends to two hosts, lost claims and settlements, a caller that disconnects, lease loss within a query, a gap in the changes, expiry and join, keep-alive callers during a planned stop.

--- /dev/null
+++ b/tests/entry/lease.rs
@@ -0,0 +1,133 @@
+//! Configuration, membership and the freshness lease.
+
+use std::time::Duration;
+
+use gentianpass::{
+    error::{Kind, Outcome},
+    event,
+    state::Change,
+    wire::{caller::Entries, operator::EntryStatus},
+};
+
+use crate::{
+    owners::Reply,
+    support::{Entry, control, now, set_label, until},
+};
+
+/// Guards against work that starts without a confirmed configuration: before the first poll and after the lease.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_lease() {
+    let control = control(2, 1).await;
+    control.silence(true);
+    let entry = Entry::launch(&control, "entry-1").await;
+    let rejected = async || {
+        let not_run = (Kind::NoLease, Outcome::NotRun);
+        assert_eq!(entry.query("name", 500).await.failure(), not_run);
+        assert_eq!(entry.dispatch("job", now()).await.failure(), not_run);
+        assert_eq!(entry.get("/v1/entries").await.failure(), not_run);
+        assert_eq!(entry.get("/healthz").await.failure(), not_run);
+    };
+    rejected().await;
+    control.silence(false);
+    entry.serving().await;
+    assert_eq!(entry.query("name", 500).await.answer().covered, 2);
+    let sent = entry.fleet.batches().len();
+    control.silence(true);
+    until("expired", async || entry.get("/healthz").await.status == 503).await;
+    rejected().await;
+    assert_eq!(entry.fleet.batches().len(), sent);
+    assert!(entry.fleet.dispatches().is_empty());
+    control.silence(false);
+    entry.serving().await;
+    assert_eq!(entry.query("name", 500).await.answer().covered, 2);
+    until("recorded", async || {
+        let events = entry.events().await;
+        let count = |kind| events.iter().filter(|it| it.kind == kind).count();
+        (count(event::Kind::LeaseLost), count(event::Kind::LeaseGained)) == (1, 2)
+    })
+    .await;
+}
+
+/// Guards against sends after the lease ended in the middle of a query: retries, hedges and a restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn lease_ends_in_query() {
+    let control = control(3, 3).await;
+    let entry = Entry::start(&control, "entry-1").await;
+    entry.fleet.script(|batch, _| {
+        let reply = if batch.canary { Reply::Rows } else { Reply::Fail(Kind::Shed) };
+        (Duration::from_millis(if batch.canary { 0 } else { 1_500 }), reply)
+    });
+    control.silence(true);
+    let answer = entry.query("name", 4_000).await.answer();
+    assert_eq!(answer.covered, 1);
+    let sent: usize = entry.fleet.batches().iter().map(|it| it.items.len()).sum();
+    // The canary, the two other shards, and at most one hedge for each of these while the lease was held.
+    assert!(sent <= 5, "{sent} sub-requests");
+}
+
+/// Guards against a host that stays outside after the control hosts expired it.
+#[tokio::test(flavor = "multi_thread")]
+async fn join_again() {
+    let control = control(1, 1).await;
+    let entry = Entry::start(&control, "entry-1").await;
+    for _ in 0..3 {
+        let incarnation = control.tables(|it| it.config.nodes["entry-1"].incarnation);
+        control.accept(Change::RemoveNode { name: "entry-1".into(), incarnation });
+        let joined = async || control.tables(|it| it.config.nodes.contains_key("entry-1"));
+        until("joined", joined).await;
+    }
+    entry.applied(&control).await;
+    assert_eq!(entry.query("name", 1_000).await.answer().covered, 1);
+}
+
+/// Guards against two processes under one name that both serve.
+#[tokio::test(flavor = "multi_thread")]
+async fn superseded() {
+    let control = control(1, 1).await;
+    let entry = Entry::start(&control, "entry-1").await;
+    let mut newer = control.tables(|it| it.config.nodes["entry-1"].clone());
+    newer.incarnation += 1_000_000;
+    control.accept(Change::PutNode(newer));
+    let err = entry.ended().await.expect_err("superseded");
+    assert_eq!(err.kind, Kind::Conflict);
+}
+
+/// Guards against a configuration that misses a change because an answer to a poll had a gap.
+#[tokio::test(flavor = "multi_thread")]
+async fn gap_in_changes() {
+    let control = control(2, 2).await;
+    let entry = Entry::start(&control, "entry-1").await;
+    control.silence(true);
+    control.leave_gap();
+    control.accept(set_label("target/t0-0", "drain", "true"));
+    control.accept(set_label("target/t1-0", "drain", "true"));
+    control.silence(false);
+    entry.serving().await;
+    entry.applied(&control).await;
+    for i in 0..10 {
+        assert_eq!(entry.query(&format!("name {i}"), 1_000).await.answer().covered, 2);
+    }
+    let batches = entry.fleet.batches();
+    let drained = |it: &&gentianpass::wire::owner::Item| it.target.ends_with("-0");
+    assert_eq!(batches.iter().flat_map(|it| &it.items).find(drained), None);
+}
+
+/// Guards against a list of entry hosts with hosts that take no new callers, and against a wrong status.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_and_status() {
+    let control = control(1, 1).await;
+    let hosts = [Entry::start(&control, "entry-1").await, Entry::start(&control, "entry-2").await];
+    hosts[0].applied(&control).await;
+    let list: Entries = hosts[0].get("/v1/entries").await.json();
+    assert_eq!((list.ttl_ms, list.addresses.len()), (200, 2));
+    control.accept(set_label("node/entry-2", "drain", "true"));
+    hosts[0].applied(&control).await;
+    let list: Entries = hosts[0].get("/v1/entries").await.json();
+    assert_eq!(list.addresses, [hosts[0].addr]);
+    let status: EntryStatus = hosts[0].get("/v1/status").await.json();
+    assert_eq!((status.name.as_str(), status.leaving), ("entry-1", false));
+    assert_eq!(status.revision, control.tables(|it| it.config.revision));
+    assert!((1..=1_000).contains(&status.lease_left_ms));
+    let metrics = hosts[0].get("/metrics").await.body;
+    assert!(String::from_utf8_lossy(&metrics).contains("gentianpass_entry_connections_total"));
+}
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,7 +1,11 @@
 //! The entry host: input, leases, queries, dispatch, announcements and the planned stop.
 
+mod announce;
 mod control;
+mod dispatch;
 mod input;
+mod lease;
 mod owners;
 mod query;
+mod stop;
 mod support;
--- /dev/null
+++ b/tests/entry/stop.rs
@@ -0,0 +1,131 @@
+//! The planned stop.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use gentianpass::{
+    error::Outcome,
+    wire::caller::{Answer, CALLER_HEADER, Entries, Failure},
+};
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::{
+    owners::Reply,
+    support::{Entry, control, query, until},
+};
+
+/// How a keep-alive connection ended.
+#[derive(Debug, Default)]
+struct Tally {
+    answered: u32,
+    rejected: u32,
+}
+
+/// Sends one request after another on connections that are used again, until the host takes no more connections.
+async fn caller(addr: std::net::SocketAddr, name: String, stopping: Arc<AtomicBool>) -> Tally {
+    let mut tally = Tally::default();
+    'connections: loop {
+        let Ok(stream) = TcpStream::connect(addr).await else {
+            assert!(stopping.load(Ordering::SeqCst), "no connection before the stop");
+            return tally;
+        };
+        let (mut sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.expect("handshake");
+        tokio::spawn(connection);
+        loop {
+            if sender.ready().await.is_err() {
+                continue 'connections;
+            }
+            let text = format!("{name} {}", tally.answered);
+            let request = Request::post("/v1/query")
+                .header("host", "e")
+                .header(CALLER_HEADER, "designer")
+                .body(Full::new(Bytes::from(query(&text, 5_000).to_string())))
+                .expect("request");
+            let response = match sender.send_request(request).await {
+                Ok(it) => it,
+                // A connection that closes between two requests interrupts none: the request was not read.
+                Err(err) if err.is_canceled() || stopping.load(Ordering::SeqCst) => {
+                    assert!(err.is_canceled() || err.is_incomplete_message(), "{err:?}");
+                    assert!(
+                        tally.rejected > 0 || err.is_canceled(),
+                        "cut before rejecting: {err:?}"
+                    );
+                    continue 'connections;
+                }
+                Err(err) => panic!("{err:?}"),
+            };
+            let status = response.status();
+            let close = response.headers().contains_key("connection");
+            let body = response.into_body().collect().await.expect("whole body").to_bytes();
+            if status == StatusCode::OK {
+                let answer: Answer = serde_json::from_slice(&body).expect("answer");
+                assert!(answer.missing.is_empty(), "{answer:?}");
+                tally.answered += 1;
+            } else {
+                let failure: Failure = serde_json::from_slice(&body).expect("failure");
+                assert_eq!(failure.outcome, Outcome::NotRun, "{failure:?}");
+                assert!(stopping.load(Ordering::SeqCst), "rejected before the stop: {failure:?}");
+                tally.rejected += 1;
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            if close {
+                continue 'connections;
+            }
+        }
+    }
+}
+
+/// Guards against a planned stop that cuts a request or a connection, leaves the list late, or keeps its node.
+#[tokio::test(flavor = "multi_thread")]
+async fn cuts_nothing() {
+    let control = control(3, 1).await;
+    let mut leaving = Entry::start(&control, "entry-1").await;
+    let staying = Entry::start(&control, "entry-2").await;
+    leaving.fleet.script(|_, _| (Duration::from_millis(30), Reply::Rows));
+    let stopping = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..8)
+        .map(|i| tokio::spawn(caller(leaving.addr, format!("caller {i}"), stopping.clone())))
+        .collect();
+    until("loaded", async || leaving.fleet.batches().len() > 50).await;
+    let addr = leaving.addr;
+    let fleet = leaving.fleet.clone();
+    stopping.store(true, Ordering::SeqCst);
+    leaving.stop();
+    until("unlisted", async || {
+        let list: Entries = staying.get("/v1/entries").await.json();
+        !list.addresses.contains(&addr)
+    })
+    .await;
+    let at_unlisting = fleet.batches().len();
+    let mut tally = Tally::default();
+    for it in callers {
+        let one = it.await.expect("no request was cut");
+        tally.answered += one.answered;
+        tally.rejected += one.rejected;
+    }
+    leaving.ended().await.expect("clean stop");
+    assert!(tally.answered > 0 && tally.rejected > 0, "{tally:?}");
+    assert!(fleet.batches().len() > at_unlisting, "served no one who held an old list");
+    assert!(fleet.stopped(), "the targets were not released");
+    assert!(!control.tables(|it| it.config.nodes.contains_key("entry-1")));
+}
+
+/// Guards against a planned stop that never ends when the control hosts do not answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn without_quorum() {
+    let control = control(1, 1).await;
+    let mut entry = Entry::start(&control, "entry-1").await;
+    control.silence(true);
+    entry.stop();
+    tokio::time::timeout(Duration::from_secs(30), entry.ended()).await.expect("ends").expect("ok");
+}
