Run entry hosts end to end in tests, bound texts and results

Cause: the parts had only been tested against stand-ins. A text of nearly 1 MiB made a frame that is too long, which costs the connection to another host and with it the requests of other callers; an admission estimate counted queues twice, because the recent latency contains them. Texts and dispatch bodies have at most 64 KiB, larger results are not recorded, the estimated wait is at most the recent latency.

--- a/src/entry/decide.rs
+++ b/src/entry/decide.rs
@@ -46,8 +46,8 @@
         self.bounds.delay(self.latency.p95(now))
     }
 
-    /// What a sub-request takes; zero while too little is known.
-    pub(super) fn service(&mut self, now: Instant) -> Duration {
+    /// What a sub-request takes, its time in the queue included; zero while too little is known.
+    pub(super) fn recent(&mut self, now: Instant) -> Duration {
         self.latency.p95(now).unwrap_or_default()
     }
 
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -16,7 +16,7 @@
         host::{Current, Host},
         http::{Arrival, Ended},
         owners::{Owners, Peer},
-        query::deadline,
+        query::{check_text, deadline},
         reply::Rejection,
     },
     error::{Error, Kind, Outcome, Result},
@@ -36,6 +36,9 @@
 /// settle a claim whose commit is uncertain.
 const CLAIM_SHARE: u32 = 2;
 
+/// The longest result that is recorded. It stays in the control log and its snapshots for an hour.
+const MAX_RESULT_BYTES: usize = 64 << 10;
+
 /// How long the commit of a settlement is tried. Until then a request sent again is answered with `unknown`.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -80,6 +83,7 @@
     body: &caller::Dispatch,
 ) -> Result<caller::Dispatched, Rejection> {
     let end = deadline(arrival.at, body.deadline_ms)?;
+    check_text(&body.body)?;
     let pass = host.gate.enter()?;
     host.check_lease()?;
     let current = host.current();
@@ -250,10 +254,11 @@
 async fn settle<O: Owners>(
     host: &Arc<Host<O>>,
     ticket: Ticket,
-    settlement: Settlement,
+    mut settlement: Settlement,
     pass: Pass,
     end: Instant,
 ) {
+    settlement.result.take_if(|it| it.len() > MAX_RESULT_BYTES);
     let control = host.parts.control.clone();
     let commit = async move {
         let _pass = pass;
--- a/src/entry/query.rs
+++ b/src/entry/query.rs
@@ -35,6 +35,10 @@
 /// The margin is at most this share of the deadline.
 const ANSWER_MARGIN_SHARE: u32 = 10;
 
+/// The longest text of a query and body of a dispatch. It travels to each owner in a frame of at most 1 MiB, together
+/// with the list of sub-requests, and a frame that is too long costs the connection.
+const MAX_TEXT_BYTES: usize = 64 << 10;
+
 /// What a query asks of each shard.
 pub(super) struct Ask {
     pub(super) id: RequestId,
@@ -70,6 +74,7 @@
     class: Class,
 ) -> Result<Answer, Rejection> {
     let end = deadline(arrival.at, query.deadline_ms)?;
+    check_text(&query.text)?;
     let _pass = host.gate.enter()?;
     host.check_lease()?;
     let current = host.current();
@@ -104,6 +109,15 @@
     finish(host, &ask, fan)
 }
 
+/// Fails if a text is too long for the way to the owners.
+pub(super) fn check_text(text: &str) -> Result<()> {
+    if text.len() > MAX_TEXT_BYTES {
+        let message = format!("text and body have at most {MAX_TEXT_BYTES} bytes");
+        return Err(Error::new(Kind::TooLarge, message));
+    }
+    Ok(())
+}
+
 /// When the root stops waiting.
 pub(super) fn deadline(arrived: Instant, deadline_ms: u64) -> Result<Instant> {
     if deadline_ms > MAX_DEADLINE_MS {
@@ -133,11 +147,12 @@
     pin: pin::Pin,
 ) -> Result<Permit> {
     let now = Instant::now();
-    let service = host.policy.group(&ask.group).lock().service(now);
+    let recent = host.policy.group(&ask.group).lock().recent(now);
     let loads = current.loads.lock();
     let shards = &group.versions[pin.index].shards;
-    // The mean, because one slow shard is no reason to reject a query that can cover all others.
-    let waits: Duration = shards.iter().map(|it| loads.wait(it, service, now)).sum();
+    // The mean, because one slow shard is no reason to reject a query that can cover all others. The recent latency
+    // contains the time in the queue, so that it bounds the wait too.
+    let waits: Duration = shards.iter().map(|it| loads.wait(it, recent, now).min(recent)).sum();
     let wait = waits / pin.total.max(1);
     drop(loads);
     let left = ask.end.saturating_duration_since(now);
--- a/tests/entry/input.rs
+++ b/tests/entry/input.rs
@@ -51,6 +51,18 @@
         ("/v1/query", "stranger", good.to_string(), Kind::NotAdmitted),
         ("/v1/query", "no/name", good.to_string(), Kind::BadRequest),
         ("/v1/query", "designer", "x".repeat(MAX_BODY_BYTES + 1), Kind::TooLarge),
+        (
+            "/v1/query",
+            "designer",
+            with(good.clone(), "text", json!("x".repeat((64 << 10) + 1))),
+            Kind::TooLarge,
+        ),
+        (
+            "/v1/dispatch",
+            "designer",
+            with(print.clone(), "body", json!("x".repeat((64 << 10) + 1))),
+            Kind::TooLarge,
+        ),
         ("/v1/dispatch", "designer", "null".into(), Kind::BadRequest),
         ("/v1/dispatch", "stranger", print.to_string(), Kind::NotAdmitted),
         ("/v1/dispatch", "designer", with(print.clone(), "key", json!("")), Kind::BadRequest),
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -9,3 +9,5 @@
 mod query;
 mod stop;
 mod support;
+mod target;
+mod whole;
--- a/tests/entry/support.rs
+++ b/tests/entry/support.rs
@@ -158,6 +158,19 @@
     unix_ms()
 }
 
+/// Sends a body to any address.
+pub async fn post(addr: SocketAddr, path: &str, caller: &str, body: impl Into<Bytes>) -> Response {
+    send(addr, Method::POST, path, caller, body).await
+}
+
+/// Sends a message to a host that may be gone.
+pub async fn post_json(addr: SocketAddr, path: &str, message: &impl serde::Serialize) {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let body = serde_json::to_vec(message).expect("json");
+    let request = Request::post(format!("http://{addr}{path}")).body(Full::new(body.into()));
+    let _ = client.request(request.expect("request")).await;
+}
+
 async fn send(
     addr: SocketAddr,
     method: Method,
