--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,7 +1,13 @@
 //! The entry host: input, leases, queries, dispatch, announcements and the planned stop.
 
+mod announce;
 mod control;
+mod dispatch;
 mod input;
+mod lease;
 mod owners;
 mod query;
+mod stop;
 mod support;
+mod target;
+mod whole;
