--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,13 +2,16 @@
 
 pub mod cmd;
 pub mod control;
+pub mod entry;
 pub mod error;
 pub mod event;
+pub mod lab;
 pub mod lease;
 pub mod metric;
 pub mod owner;
 pub mod peer;
 pub mod policy;
+pub mod raft;
 pub mod settings;
 pub mod state;
 pub mod trace;
