Prefer the replica in the root's own zone while it has room

Cause: with zones in different regions a sub-request to another zone takes 16 ms longer, and the slowest shard sets the latency. Two random replicas of three leave out the one in the own zone in a third of all cases. Change: one of the two replicas compared is in the own zone if there is one; loads up to 1.5 count as equal.

--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -20,6 +20,9 @@
 /// hints still get work and soon have hints.
 pub const NEUTRAL_LOAD: f32 = 0.5;
 
+/// Loads up to this count as equal: a wait for half a limit is shorter than the way to another region and back.
+pub const TIE_LOAD: f32 = 1.5;
+
 /// What the root knows about the load of each target of a view.
 #[derive(Clone, Debug)]
 pub struct Loads {
@@ -93,8 +96,8 @@
         target.usable && !target.penalized(now)
     }
 
-    /// Chooses a replica that accepts new work and is not in `excluded`. Targets that failed recently are chosen only
-    /// if there is no other.
+    /// Chooses a replica that accepts new work and is not in `excluded`. Two replicas are compared, one of them in the
+    /// root's own zone if there is one. Targets that failed recently are chosen only if there is no other.
     pub fn pick(
         &self,
         replicas: &[TargetKey],
@@ -131,16 +134,21 @@
         if count < 2 {
             return candidates().next();
         }
-        let first = rng.random_range(0..count);
-        let second = (first + rng.random_range(1..count)) % count;
-        let first = candidates().nth(first)?;
-        let second = candidates().nth(second)?;
+        let near = || candidates().filter(|it| self.targets[it.0 as usize].own_zone);
+        let first = match near().count() {
+            0 => candidates().nth(rng.random_range(0..count))?,
+            near_count => near().nth(rng.random_range(0..near_count))?,
+        };
+        let mut others = candidates().filter(|it| *it != first);
+        let second = others.nth(rng.random_range(0..count - 1)).unwrap_or(first);
         Some(self.lighter(first, second, now))
     }
 
     fn lighter(&self, first: TargetKey, second: TargetKey, now: Instant) -> TargetKey {
         let [a, b] = [first, second].map(|it| self.targets[it.0 as usize]);
-        let order = a.load(now).total_cmp(&b.load(now)).then(b.own_zone.cmp(&a.own_zone));
+        let [load_a, load_b] = [a.load(now), b.load(now)];
+        let order = load_a.max(TIE_LOAD).total_cmp(&load_b.max(TIE_LOAD));
+        let order = order.then(b.own_zone.cmp(&a.own_zone)).then(load_a.total_cmp(&load_b));
         if order.is_le() { first } else { second }
     }
 }
--- a/tests/policy/pick.rs
+++ b/tests/policy/pick.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 use gentianpass::{
-    policy::pick::{FAILURE_PENALTY, HINT_AGE, Loads, NEUTRAL_LOAD},
+    policy::pick::{FAILURE_PENALTY, HINT_AGE, Loads, NEUTRAL_LOAD, TIE_LOAD},
     state::{Change, Config, Object, ObjectKind, Phase, Target, TargetKey, View},
     wire::owner::Hint,
 };
@@ -84,12 +84,16 @@
         if candidates.len() < 2 {
             return candidates.first().copied();
         }
-        let i = rng.random_range(0..candidates.len());
-        let j = (i + rng.random_range(1..candidates.len())) % candidates.len();
-        let (a, b) = (candidates[i], candidates[j]);
-        let (load_a, load_b) = (self.load(a, now), self.load(b, now));
-        let a_wins = load_a < load_b || (load_a == load_b && (a % 3 == 0 || b % 3 != 0));
-        Some(if a_wins { a } else { b })
+        let near: Vec<u32> = candidates.iter().copied().filter(|it| it.is_multiple_of(3)).collect();
+        let firsts = if near.is_empty() { &candidates } else { &near };
+        let first = firsts[rng.random_range(0..firsts.len())];
+        let others: Vec<u32> = candidates.iter().copied().filter(|it| *it != first).collect();
+        let second = others[rng.random_range(0..others.len())];
+        let [load, other] = [first, second].map(|it| self.load(it, now));
+        let only_first_near = first.is_multiple_of(3) && !second.is_multiple_of(3);
+        let tie = load <= TIE_LOAD && other <= TIE_LOAD;
+        let takes_second = other < load && !(tie && only_first_near);
+        Some(if takes_second { second } else { first })
     }
 }
 
@@ -168,6 +172,24 @@
     assert!(loads.usable(TargetKey(1), now + FAILURE_PENALTY));
 }
 
+/// Guards against the way to another region while the replica in the root's own zone has room, and against a queue in
+/// the own zone while another one is free.
+#[test]
+fn pick_own_zone() {
+    let now = Instant::now();
+    let mut loads = Loads::new(&six(&[]), "z1");
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut near = |loads: &Loads| {
+        (0..90)
+            .filter(|_| loads.pick(&keys(&[0, 1, 2]), &[], now, &mut rng) == Some(TargetKey(1)))
+            .count()
+    };
+    loads.hint(TargetKey(1), &hint(2, 2, 0), now);
+    assert_eq!(near(&loads), 90);
+    loads.hint(TargetKey(1), &hint(2, 2, 4), now);
+    assert_eq!(near(&loads), 0);
+}
+
 /// Guards against most of the load on one of three equally loaded replicas of other zones.
 #[test]
 fn pick_spread() {
