--- a/src/bin/gentianpass-lab.rs
+++ b/src/bin/gentianpass-lab.rs
@@ -7,6 +7,7 @@
     demo,
     fleet::Binaries,
     measure::{self, scenario::Scenario},
+    shape::Size,
     slope,
 };
 use tokio::signal::unix::{SignalKind, signal};
@@ -15,6 +16,9 @@
 #[derive(Parser)]
 #[command(version)]
 struct Args {
+    /// The number of control hosts of each fleet.
+    #[arg(long, global = true, default_value_t = 3)]
+    controls: usize,
     #[command(subcommand)]
     command: Command,
 }
@@ -51,7 +55,7 @@
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
-    match run(Args::parse().command) {
+    match run(Args::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("failed: {err:#}");
@@ -60,21 +64,24 @@
     }
 }
 
-fn run(command: Command) -> eyre::Result<()> {
+fn run(args: Args) -> eyre::Result<()> {
+    let Args { controls, command } = args;
     let binaries = Binaries::beside_current()?;
     let runtime = tokio::runtime::Runtime::new()?;
     runtime.block_on(async {
         match command {
-            Command::Demo => until_signal(demo::run(binaries)).await,
+            Command::Demo => until_signal(demo::run(binaries, controls)).await,
             Command::Measure { quick, scenarios, workload } => {
                 let options =
                     if quick { measure::Options::quick() } else { measure::Options::full() };
-                let options = measure::Options { scenarios, workload, ..options };
+                let size = Size { controls, ..options.size };
+                let options = measure::Options { size, scenarios, workload, ..options };
                 until_signal(measure::run(binaries, options)).await
             }
             Command::Slope { fan_outs, entries, seconds } => {
                 let duration = Duration::from_secs(seconds);
-                let options = slope::Options { fan_outs, entries, duration };
+                let size = Size { controls, entries };
+                let options = slope::Options { fan_outs, size, duration };
                 until_signal(slope::run(binaries, options)).await
             }
         }
--- a/src/lab/demo/mod.rs
+++ b/src/lab/demo/mod.rs
@@ -48,10 +48,10 @@
     }
 }
 
-/// Runs the demo. Fails if an expectation does not hold.
-pub async fn run(binaries: Binaries) -> eyre::Result<()> {
+/// Runs the demo with this many control hosts. Fails if an expectation does not hold.
+pub async fn run(binaries: Binaries, controls: usize) -> eyre::Result<()> {
     let mut report = Report::default();
-    let mut site = Site::start(binaries).await?;
+    let mut site = Site::start(binaries, controls).await?;
     steps::configure(&site, &mut report).await?;
     steps::searches(&site, &mut report).await?;
     steps::dispatch(&site, &mut report).await?;
--- a/src/lab/demo/site.rs
+++ b/src/lab/demo/site.rs
@@ -13,7 +13,7 @@
         dataset::Dataset,
         fleet::{Binaries, Fleet, template},
         load::{Callers, Expected, Load, Sample, Stream, System},
-        shape::{ASSOCIATION, CUBBYHOLE, Shape},
+        shape::{ASSOCIATION, CUBBYHOLE, Shape, Size},
         target::fault::TargetStats,
     },
     settings::TargetSpec,
@@ -91,10 +91,11 @@
 
 impl Site {
     /// Starts all processes.
-    pub async fn start(binaries: Binaries) -> eyre::Result<Self> {
+    pub async fn start(binaries: Binaries, controls: usize) -> eyre::Result<Self> {
         let cubbyhole = Shape { service_us: SERVICE_US, ..CUBBYHOLE };
         let association = Shape { service_us: SERVICE_US, zones: ZONES, ..ASSOCIATION };
-        let mut plan = cubbyhole.plan(binaries, SEED, ROWS, ZONES.len(), WARM_AFTER_MS);
+        let size = Size { controls, entries: ZONES.len() };
+        let mut plan = cubbyhole.plan(binaries, SEED, ROWS, size, WARM_AFTER_MS);
         for entry in &mut plan.entries {
             entry.settings.insert("entries_ttl_ms".into(), ENTRIES_TTL_MS.into());
         }
--- a/src/lab/fleet/mod.rs
+++ b/src/lab/fleet/mod.rs
@@ -15,11 +15,14 @@
 use hyper::Method;
 use tempfile::TempDir;
 
-use crate::lab::{
-    caller::Caller,
-    http::{self, Client},
-    operator::Operator,
-    target::fault::{Fault, Stats, Steering, Step, TargetStats},
+use crate::{
+    lab::{
+        caller::Caller,
+        http::{self, Client},
+        operator::Operator,
+        target::fault::{Fault, Stats, Steering, Step, TargetStats},
+    },
+    wire::caller::CALLER_HEADER,
 };
 pub use plan::{Binaries, HostPlan, Plan, Service, TOKEN, template};
 pub use process::Process;
@@ -216,7 +219,8 @@
     }
 
     async fn get_ok(&self, addr: SocketAddr, path: &str) -> eyre::Result<()> {
-        let sent = self.client.send(Method::GET, addr, path, &[], Bytes::new(), TIMEOUT).await;
+        let headers = [(CALLER_HEADER, "launcher")];
+        let sent = self.client.send(Method::GET, addr, path, &headers, Bytes::new(), TIMEOUT).await;
         let (status, body) = sent.wrap_err_with(|| format!("{addr}{path}"))?;
         eyre::ensure!(status.is_success(), "{addr}{path}: {status} {body:?}");
         Ok(())
--- a/src/lab/measure/bench.rs
+++ b/src/lab/measure/bench.rs
@@ -15,7 +15,7 @@
         fleet::{Binaries, Fleet},
         load::{Callers, Expected, Load, Stream, System},
         naive_system::{Layout, NaiveSystem},
-        shape::Shape,
+        shape::{Shape, Size},
         target::fault::{Fault, Steering, Step},
     },
     wire::{caller::Query, owner::Class},
@@ -79,10 +79,10 @@
     pub async fn start(
         shape: Shape,
         binaries: Binaries,
-        entries: usize,
+        size: Size,
         warm_after_ms: u64,
     ) -> eyre::Result<Self> {
-        let plan = shape.plan(binaries, SEED, ROWS, entries, warm_after_ms);
+        let plan = shape.plan(binaries, SEED, ROWS, size, warm_after_ms);
         let fleet = Fleet::start(plan).await?;
         let operator = &fleet.operator;
         operator.admit_all(shape.service, shape.index, &[shape.quick, shape.broad]).await?;
--- a/src/lab/measure/mod.rs
+++ b/src/lab/measure/mod.rs
@@ -14,7 +14,7 @@
 use crate::lab::{
     fleet::Binaries,
     load::{self, System},
-    shape::{ASSOCIATION, CUBBYHOLE, Shape},
+    shape::{ASSOCIATION, CUBBYHOLE, Shape, Size},
 };
 use bench::{Bench, Measured};
 use report::Tally;
@@ -27,8 +27,8 @@
     pub slice: Duration,
     /// How often each system has its turn in each scenario.
     pub slices: u32,
-    /// Entry hosts of each fleet.
-    pub entries: usize,
+    /// The hosts of each fleet.
+    pub size: Size,
     /// How long targets stay cold.
     pub warm_after_ms: u64,
     /// Only these scenarios; all if empty.
@@ -43,7 +43,7 @@
         Self {
             slice: Duration::from_millis(450),
             slices: 1,
-            entries: 3,
+            size: Size { controls: 3, entries: 3 },
             warm_after_ms: 300,
             scenarios: Vec::new(),
             workload: None,
@@ -55,7 +55,7 @@
         Self {
             slice: Duration::from_millis(4_000),
             slices: 3,
-            entries: 6,
+            size: Size { controls: 3, entries: 6 },
             warm_after_ms: 1_500,
             scenarios: Vec::new(),
             workload: None,
@@ -78,8 +78,8 @@
 }
 
 async fn workload(shape: Shape, binaries: &Binaries, options: &Options) -> eyre::Result<u64> {
-    let (entries, warm_after_ms) = (options.entries, options.warm_after_ms);
-    let bench = Bench::start(shape, binaries.clone(), entries, warm_after_ms).await?;
+    let (size, warm_after_ms) = (options.size, options.warm_after_ms);
+    let bench = Bench::start(shape, binaries.clone(), size, warm_after_ms).await?;
     let warm_up = bench.load(options.slice, 1.0, None);
     load::run(bench.current.clone(), &warm_up).await;
     let mut wrong = 0;
--- a/src/lab/shape.rs
+++ b/src/lab/shape.rs
@@ -78,18 +78,18 @@
         slots / (self.service_us as f64 / 1e6)
     }
 
-    /// A fleet of this shape: three control hosts, some entry hosts and one process of targets.
+    /// A fleet of this shape, with one process of targets.
     pub fn plan(
         &self,
         binaries: Binaries,
         seed: u64,
         rows: u64,
-        entries: usize,
+        size: Size,
         warm_after_ms: u64,
     ) -> Plan {
         let mut plan = Plan::new(binaries, seed, rows);
-        plan.controls = hosts("control", 3, &self.zones);
-        plan.entries = hosts("entry", entries, &self.zones);
+        plan.controls = hosts("control", size.controls, &self.zones);
+        plan.entries = hosts("entry", size.entries, &self.zones);
         let targets = self.targets(&mut plan, warm_after_ms);
         plan.targets.push(targets);
         plan
@@ -122,6 +122,15 @@
     }
 }
 
+/// How many hosts a fleet has.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Control hosts.
+    pub controls: usize,
+    /// Entry hosts.
+    pub entries: usize,
+}
+
 /// Hosts that are spread over the zones.
 pub fn hosts(prefix: &str, count: usize, zones: &[&str]) -> Vec<HostPlan> {
     (0..count).map(|i| HostPlan::new(format!("{prefix}-{i}"), zones[i % zones.len()])).collect()
--- a/src/lab/slope.rs
+++ b/src/lab/slope.rs
@@ -10,7 +10,7 @@
         dataset::Dataset,
         fleet::{Binaries, Fleet, Plan, Service, template},
         load::System,
-        shape::hosts,
+        shape::{Size, hosts},
     },
     wire::caller::Query,
 };
@@ -32,8 +32,8 @@
 pub struct Options {
     /// The fan-outs.
     pub fan_outs: Vec<u32>,
-    /// Entry hosts.
-    pub entries: usize,
+    /// The hosts of each fleet.
+    pub size: Size,
     /// How long each fan-out is measured.
     pub duration: Duration,
 }
@@ -41,16 +41,16 @@
 /// Measures each fan-out with a fleet of its own and prints a line.
 pub async fn run(binaries: Binaries, options: Options) -> eyre::Result<()> {
     for &fan_out in &options.fan_outs {
-        let fleet = start(binaries.clone(), fan_out, options.entries).await?;
+        let fleet = start(binaries.clone(), fan_out, options.size).await?;
         measure(&fleet, fan_out, options.duration).await?;
     }
     Ok(())
 }
 
-async fn start(binaries: Binaries, fan_out: u32, entries: usize) -> eyre::Result<Fleet> {
+async fn start(binaries: Binaries, fan_out: u32, size: Size) -> eyre::Result<Fleet> {
     let mut plan = Plan::new(binaries, SEED, ROWS);
-    plan.controls = hosts("control", 3, &[ZONE]);
-    plan.entries = hosts("entry", entries, &[ZONE]);
+    plan.controls = hosts("control", size.controls, &[ZONE]);
+    plan.entries = hosts("entry", size.entries, &[ZONE]);
     let service = Service {
         name: SERVICE.into(),
         index: "labels".into(),
