Add the durable log of a control host

One save is one frame with one sync, so that all changes that wait share it. Header and payload have their own CRC32: a frame at the end of the file counts as torn only if bytes are missing or a sector is still zero, so that a flipped bit in the newest synced frame is reported with file and offset instead of being dropped as a torn tail. Ruled out: one checksum for both, because a flipped length bit then looks like a torn tail and loses everything after it.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod raft;
 pub mod settings;
 pub mod state;
+pub mod store;
 pub mod trace;
 pub mod wire;
--- a/src/raft/core.rs
+++ b/src/raft/core.rs
@@ -41,6 +41,20 @@
     pub entries: Vec<Entry>,
 }
 
+impl Recovered {
+    /// Drops entries that do not continue the snapshot. They are left when a crash interrupts an installation between
+    /// the snapshot and the log. Returns whether there were any; the log on disk must then be rewritten.
+    pub fn drop_stale(&mut self) -> bool {
+        let base = self.snapshot.as_ref().map_or((0, 0), |it| (it.index, it.term));
+        let continues = self.entries.first().is_none_or(|it| it.index == base.0 + 1)
+            || self.entries.iter().any(|it| (it.index, it.term) == base);
+        if !continues {
+            self.entries.clear();
+        }
+        !continues
+    }
+}
+
 /// What happens to a member.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -161,7 +175,7 @@
 }
 
 impl Core {
-    /// Makes a follower from what was found on disk.
+    /// Makes a follower from what was found on disk, without stale entries.
     pub fn new(opts: Options, recovered: Recovered, now_ms: u64) -> Self {
         let commit = recovered.snapshot.as_ref().map_or(0, |it| it.index);
         let mut core = Self {
--- a/src/raft/log.rs
+++ b/src/raft/log.rs
@@ -15,16 +15,10 @@
 }
 
 impl Log {
-    /// Takes over what was found on disk. After a crash in the middle of an installation the entries may be older than
-    /// the snapshot or differ from it; they stay only if they continue it.
-    pub fn new(snapshot: Option<Snapshot>, mut entries: Vec<Entry>) -> Self {
+    /// Takes over what was found on disk.
+    pub fn new(snapshot: Option<Snapshot>, entries: Vec<Entry>) -> Self {
         let snapshot = snapshot.map(Arc::new);
         let base = snapshot.as_ref().map_or((0, 0), |it| (it.index, it.term));
-        let continues = entries.first().is_some_and(|it| it.index == base.0 + 1)
-            || entries.iter().any(|it| (it.index, it.term) == base);
-        if !continues {
-            entries.clear();
-        }
         let membership =
             snapshot.as_ref().map_or_else(Membership::default, |it| it.membership.clone());
         let mut entries = VecDeque::from(entries);
--- /dev/null
+++ b/src/store/folder.rs
@@ -0,0 +1,98 @@
+//! Files of the data folder.
+
+use std::{
+    fs::{self, File},
+    io::{self, ErrorKind, Write},
+    path::{Path, PathBuf},
+};
+
+use crate::store::{Error, Result};
+
+/// How much space is kept for votes and heartbeats of a full disk.
+const RESERVE_BYTES: usize = 4 << 20;
+
+/// The data folder.
+pub struct Folder {
+    path: PathBuf,
+    _lock: File,
+}
+
+impl Folder {
+    /// Creates the folder if needed and locks it.
+    pub fn open(path: &Path) -> Result<Self> {
+        fs::create_dir_all(path).map_err(|it| failed(path, it))?;
+        let file = path.join("lock");
+        let lock = File::create(&file).map_err(|it| failed(&file, it))?;
+        lock.try_lock().map_err(|_| Error::Locked { folder: path.to_owned() })?;
+        Ok(Self { path: path.to_owned(), _lock: lock })
+    }
+
+    /// The path of a file.
+    pub fn file(&self, name: &str) -> PathBuf {
+        self.path.join(name)
+    }
+
+    /// The content of a file; none if there is no such file.
+    pub fn read(&self, name: &str) -> Result<Option<Vec<u8>>> {
+        let file = self.file(name);
+        match fs::read(&file) {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(err) if err.kind() == ErrorKind::NotFound => Ok(None),
+            Err(err) => Err(failed(&file, err)),
+        }
+    }
+
+    /// Replaces a file so that after a crash it has either the old or the new content.
+    pub fn replace(&self, name: &str, bytes: &[u8]) -> Result<()> {
+        let new = self.file(&format!("{name}.new"));
+        let written = File::create(&new).and_then(|mut it| {
+            it.write_all(bytes)?;
+            it.sync_all()
+        });
+        if let Err(err) = written {
+            let _ = fs::remove_file(&new);
+            return Err(failed(&new, err));
+        }
+        let file = self.file(name);
+        fs::rename(&new, &file).map_err(|it| failed(&file, it))?;
+        self.sync()
+    }
+
+    /// Makes names in the folder durable.
+    pub fn sync(&self) -> Result<()> {
+        let synced = File::open(&self.path).and_then(|it| it.sync_all());
+        synced.map_err(|it| failed(&self.path, it))
+    }
+
+    /// Makes sure that some space is reserved; false if the disk has none.
+    pub fn reserve(&self) -> Result<bool> {
+        let file = self.file("reserve");
+        if fs::metadata(&file).is_ok_and(|it| it.len() >= RESERVE_BYTES as u64) {
+            return Ok(true);
+        }
+        let mut reserve = File::create(&file).map_err(|it| failed(&file, it))?;
+        let written = reserve.write_all(&vec![0; RESERVE_BYTES]).and_then(|()| reserve.sync_all());
+        match written.map_err(|it| failed(&file, it)) {
+            Ok(()) => Ok(true),
+            Err(Error::Full { .. }) => {
+                let _ = reserve.set_len(0);
+                Ok(false)
+            }
+            Err(err) => Err(err),
+        }
+    }
+
+    /// Frees the reserved space.
+    pub fn release(&self) {
+        let _ = File::options().write(true).open(self.file("reserve")).and_then(|it| it.set_len(0));
+    }
+}
+
+/// The error of an operation on a file.
+pub fn failed(file: &Path, source: io::Error) -> Error {
+    let file = file.to_owned();
+    match source.kind() {
+        ErrorKind::StorageFull | ErrorKind::QuotaExceeded => Error::Full { file },
+        _ => Error::Io { file, source },
+    }
+}
--- a/tests/raft/node.rs
+++ b/tests/raft/node.rs
@@ -89,7 +89,12 @@
     /// Starts the process from what is on disk.
     pub fn start(&mut self, now: u64, seed: u64) {
         let Disk { hard, snapshot, entries } = self.disk.clone();
-        self.machine = snapshot
+        let mut recovered = Recovered { hard, snapshot, entries };
+        if recovered.drop_stale() {
+            self.disk.entries.clear();
+        }
+        self.machine = recovered
+            .snapshot
             .as_ref()
             .map_or((0, 0), |it| bincode::deserialize(&it.data).expect("own snapshot"));
         let opts = Options {
@@ -100,7 +105,6 @@
             max_message_bytes: 200,
             trailing_entries: 4,
         };
-        let recovered = Recovered { hard, snapshot, entries };
         self.core = Some(Core::new(opts, recovered, now + self.skew_ms));
     }
 
--- /dev/null
+++ b/tests/store/main.rs
@@ -0,0 +1,211 @@
+//! The durable log: interrupted writes are dropped, damage is reported, restarts read a bounded log.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
+use gentianpass::{
+    raft::{Entry, HardState, Membership, Payload, Save, Snapshot},
+    store::{Error, Log, Opened},
+};
+use tempfile::TempDir;
+
+struct Folder {
+    dir: TempDir,
+}
+
+impl Folder {
+    fn new() -> Self {
+        Self { dir: TempDir::new().expect("temporary folder") }
+    }
+
+    fn path(&self) -> &Path {
+        self.dir.path()
+    }
+
+    fn file(&self, name: &str) -> PathBuf {
+        self.path().join(name)
+    }
+
+    fn open(&self) -> (Log, Opened) {
+        Log::open(self.path()).expect("undamaged folder")
+    }
+
+    fn indices(&self) -> Vec<u64> {
+        self.open().1.recovered.entries.iter().map(|it| it.index).collect()
+    }
+
+    /// The offset at which opening reports damage in this file.
+    fn damage(&self, name: &str) -> u64 {
+        match Log::open(self.path()).map(|_| ()) {
+            Err(Error::Corrupt { file, offset, .. }) if file == self.file(name) => offset,
+            other => panic!("damage of {name} gave {other:?}"),
+        }
+    }
+
+    fn edit(&self, name: &str, edit: impl FnOnce(&mut Vec<u8>)) {
+        let mut bytes = fs::read(self.file(name)).expect("readable");
+        edit(&mut bytes);
+        fs::write(self.file(name), bytes).expect("writable");
+    }
+}
+
+fn entry(index: u64) -> Entry {
+    Entry { index, term: 1, payload: Payload::Data(vec![index as u8 | 1; 40]) }
+}
+
+fn save(log: &mut Log, indices: std::ops::RangeInclusive<u64>) {
+    log.save(Save { hard: None, entries: indices.map(entry).collect() }).expect("saved");
+}
+
+fn snapshot(index: u64) -> Snapshot {
+    Snapshot { index, term: 1, membership: Membership::default(), data: vec![7; 100] }
+}
+
+/// Guards against loss of acknowledged state by a restart.
+#[test]
+fn reopen_keeps_everything() {
+    let folder = Folder::new();
+    let (mut log, opened) = folder.open();
+    let hard = HardState { term: 3, vote: Some(9), cluster: Some(5) };
+    log.save(Save { hard: Some(hard), entries: vec![entry(1), entry(2)] }).expect("saved");
+    save(&mut log, 2..=4);
+    drop(log);
+    let again = folder.open().1;
+    assert_eq!((again.id, again.recovered.hard), (opened.id, hard));
+    assert_eq!(again.recovered.entries, (1..=4).map(entry).collect::<Vec<_>>());
+}
+
+/// Guards against a host that does not start after a crash in the middle of a write.
+#[test]
+fn torn_tail_is_dropped() {
+    let folder = Folder::new();
+    let (mut log, _) = folder.open();
+    save(&mut log, 1..=2);
+    let synced = log.bytes() as usize;
+    save(&mut log, 3..=60);
+    drop(log);
+    let whole = fs::read(folder.file("log")).expect("readable");
+    let mut unwritten_middle = whole.clone();
+    let sector = synced.next_multiple_of(512) + 512;
+    unwritten_middle[sector..sector + 512].fill(0);
+    let mut unwritten_header = whole.clone();
+    unwritten_header[synced..].fill(0);
+    let cuts =
+        [synced + 1, synced + 12, synced + 13, whole.len() - 1].map(|it| whole[..it].to_vec());
+    for torn in cuts.into_iter().chain([unwritten_middle, unwritten_header]) {
+        fs::write(folder.file("log"), &torn).expect("writable");
+        let (mut log, opened) = folder.open();
+        assert_eq!(opened.torn_bytes as usize, torn.len() - synced);
+        assert_eq!(opened.recovered.entries.len(), 2);
+        save(&mut log, 3..=3);
+        drop(log);
+        assert_eq!(folder.indices(), [1, 2, 3]);
+    }
+}
+
+/// Guards against silent loss of synced state: a flipped bit anywhere is reported with file and offset.
+#[test]
+fn flipped_bit_is_reported() {
+    let folder = Folder::new();
+    let (mut log, _) = folder.open();
+    let mut frames = vec![0, log.bytes()];
+    for index in 1..=3 {
+        save(&mut log, index..=index);
+        frames.push(log.bytes());
+    }
+    drop(log);
+    let whole = fs::read(folder.file("log")).expect("readable");
+    for at in 0..whole.len() {
+        folder.edit("log", |it| it[at] ^= 0x10);
+        let start = frames.iter().rfind(|it| **it <= at as u64).expect("first frame");
+        assert_eq!(folder.damage("log"), *start, "bit in byte {at}");
+        fs::write(folder.file("log"), &whole).expect("writable");
+    }
+    assert_eq!(folder.indices(), [1, 2, 3]);
+}
+
+/// Guards against a host that starts from part of a snapshot, or under its old identity without its log.
+#[test]
+fn incomplete_folder_is_reported() {
+    let folder = Folder::new();
+    let (mut log, _) = folder.open();
+    save(&mut log, 1..=5);
+    log.save_snapshot(&snapshot(5), Vec::new()).expect("saved");
+    drop(log);
+    let whole = fs::read(folder.file("snapshot")).expect("readable");
+    for length in [0, 5, 12, whole.len() - 1] {
+        folder.edit("snapshot", |it| it.truncate(length));
+        assert_eq!(folder.damage("snapshot"), length as u64);
+        fs::write(folder.file("snapshot"), &whole).expect("writable");
+    }
+    folder.edit("snapshot", |it| it[40] ^= 1);
+    assert_eq!(folder.damage("snapshot"), 0);
+    fs::write(folder.file("snapshot"), &whole).expect("writable");
+    let log = fs::read(folder.file("log")).expect("readable");
+    folder.edit("log", Vec::clear);
+    assert_eq!(folder.damage("log"), 0);
+    fs::remove_file(folder.file("log")).expect("removable");
+    assert_eq!(folder.damage("log"), 0);
+    fs::write(folder.file("log"), log).expect("writable");
+    fs::remove_file(folder.file("identity")).expect("removable");
+    assert_eq!(folder.damage("identity"), 0);
+}
+
+/// Guards against a log that grows without bound, so that a restart after many changes takes long.
+#[test]
+fn restart_reads_a_bounded_log() {
+    let folder = Folder::new();
+    let (mut log, _) = folder.open();
+    for index in 1..=1_000 {
+        save(&mut log, index..=index);
+        if index % 100 == 0 {
+            let trailing = (index - 9..=index).map(entry).collect();
+            log.save_snapshot(&snapshot(index), trailing).expect("saved");
+        }
+    }
+    save(&mut log, 1_001..=1_003);
+    drop(log);
+    assert_eq!(folder.indices(), (991..=1_003).collect::<Vec<_>>());
+    assert_eq!(folder.open().1.recovered.snapshot, Some(snapshot(1_000)));
+}
+
+/// Guards against a mixture of an installed snapshot and older entries after a crash between both writes.
+#[test]
+fn interrupted_installation_drops_old_entries() {
+    let folder = Folder::new();
+    let (mut log, _) = folder.open();
+    save(&mut log, 1..=5);
+    let old = fs::read(folder.file("log")).expect("readable");
+    log.save_snapshot(&snapshot(100), Vec::new()).expect("saved");
+    drop(log);
+    fs::write(folder.file("log"), old).expect("writable");
+    let (mut log, opened) = folder.open();
+    assert!(opened.recovered.entries.is_empty());
+    save(&mut log, 101..=102);
+    drop(log);
+    assert_eq!(folder.indices(), [101, 102]);
+}
+
+/// Guards against two processes on one folder, which would both write the log.
+#[test]
+fn second_process_is_refused() {
+    let folder = Folder::new();
+    let _log = folder.open().0;
+    assert!(matches!(Log::open(folder.path()), Err(Error::Locked { .. })));
+}
+
+/// Guards against a host that takes changes without room for votes, or that never notices freed space.
+#[test]
+fn full_disk_is_noticed() {
+    let folder = Folder::new();
+    std::os::unix::fs::symlink("/dev/full", folder.file("reserve")).expect("link");
+    let (mut log, _) = folder.open();
+    assert!(log.is_full());
+    log.look_for_space().expect("looked");
+    assert!(log.is_full());
+    fs::remove_file(folder.file("reserve")).expect("removable");
+    log.look_for_space().expect("looked");
+    assert!(!log.is_full());
+}
