Replicate the control state over the control hosts

The control process held its tables in memory. Now a consensus thread owns the core and the durable log and performs the core's actions in order; waiting changes share one sync. Polls and reads are confirmed by a quorum after they arrived, in batches; followers pass the names of the polling entry hosts to the leader with the same call, so that a confirmed poll always counts against the expiry. One host, the smallest address in peers, writes the first membership once all peers are empty; ruled out was that each host writes it, because a host that loses its disk in between would lead to two first memberships. Voters that stay silent are replaced by a caught-up learner and become learners. A full disk rejects changes; a reserve of 4 MiB keeps votes and elections possible.

Seen while testing: with all disks full no leader could commit its first entry, because followers refused all entries. They now refuse only after the log has grown by half of the reserve.

--- a/src/control/http.rs
+++ b/src/control/http.rs
@@ -1,6 +1,13 @@
 //! The operators' HTTP API of a control host.
 
-use std::{collections::BTreeSet, hint::black_box, io, net::SocketAddr, sync::Arc};
+use std::{
+    collections::BTreeSet,
+    hint::black_box,
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use axum::{
     Json, Router,
@@ -11,13 +18,14 @@
     response::{IntoResponse, Response},
     routing::{get, post},
 };
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::oneshot};
 use uuid::Uuid;
 
 use crate::{
     control::host::Host,
-    error::{Error, Kind},
+    error::{Error, Kind, Outcome},
     event,
+    raft::{self, MemberId},
     state::{Change, Config, Labels, Object, Reply},
     wire::{
         MAX_BODY_BYTES,
@@ -30,10 +38,21 @@
     },
 };
 
-/// Serves operators until it is dropped.
-pub async fn serve(host: Arc<Host>, listen: SocketAddr) -> io::Result<()> {
+/// How long an operator's change is sent again.
+const SUBMIT_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// The pause before a change is sent again.
+const SUBMIT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves operators until it is told to stop; then running requests end.
+pub async fn serve(
+    host: Arc<Host>,
+    listen: SocketAddr,
+    stop: oneshot::Receiver<()>,
+) -> io::Result<()> {
     let listener = TcpListener::bind(listen).await?;
-    axum::serve(listener, router(host)).await
+    let stopped = async || drop(stop.await);
+    axum::serve(listener, router(host)).with_graceful_shutdown(stopped()).await
 }
 
 fn router(host: Arc<Host>) -> Router {
@@ -47,24 +66,25 @@
         .route("/metrics", get(metrics))
         .route("/healthz", get(healthz))
         .merge(operators)
-        .fallback(async || Refusal(Error::new(Kind::NotFound, "there is no such path")))
+        .fallback(async || Refusal::from(Error::new(Kind::NotFound, "there is no such path")))
         .with_state(host)
 }
 
 /// An error as the answer to an operator.
-struct Refusal(Error);
+struct Refusal(Error, Outcome);
 
 impl IntoResponse for Refusal {
     fn into_response(self) -> Response {
         let Error { kind, message } = self.0;
-        let body = Failure { request_id: None, error: kind, outcome: kind.outcome(), message };
+        let body = Failure { request_id: None, error: kind, outcome: self.1, message };
         (status(kind), Json(body)).into_response()
     }
 }
 
 impl From<Error> for Refusal {
     fn from(err: Error) -> Self {
-        Self(err)
+        let outcome = err.kind.outcome();
+        Self(err, outcome)
     }
 }
 
@@ -78,7 +98,7 @@
     let token = sent.strip_prefix(b"Bearer ").unwrap_or_default();
     if !same_token(token, host.cfg.operator_token.as_bytes()) {
         let err = Error::new(Kind::Unauthorized, "the bearer token is missing or wrong");
-        return Refusal(err).into_response();
+        return Refusal::from(err).into_response();
     }
     next.run(request).await
 }
@@ -90,6 +110,7 @@
 }
 
 async fn state(State(host): State<Arc<Host>>) -> Result<Json<operator::State>, Refusal> {
+    host.confirm(None).await?;
     let members = members(&host);
     Ok(Json(host.read(|tables| operator_state(&tables.config, members))))
 }
@@ -110,10 +131,31 @@
         .map_err(|err| bad_request(format!("id {:?} is not a UUID: {err}", request.id)))?;
     let submit =
         Submit { id: id.as_u128(), base: Some(request.base), change: into_change(request.edit) };
-    let reply = host.submit(submit).await?;
+    let reply = submit_until(&host, submit).await.map_err(unsure)?;
+    // The answer shows this host's tables, which may lag behind the leader's. The change is committed in any case.
+    let _ = host.confirm(None).await;
     Ok(answer(&host, reply))
 }
 
+/// Sends a change again under the same id while no leader is known or the leader changes.
+async fn submit_until(host: &Host, submit: Submit) -> Result<Reply, Error> {
+    let end = Instant::now() + SUBMIT_TIMEOUT;
+    loop {
+        match host.submit(submit.clone()).await {
+            Err(err) if err.kind == Kind::NoQuorum && Instant::now() < end => {
+                tokio::time::sleep(SUBMIT_PAUSE).await;
+            }
+            result => return result,
+        }
+    }
+}
+
+/// Without an answer from a quorum a change may have been committed.
+fn unsure(err: Error) -> Refusal {
+    let outcome = if err.kind == Kind::NoQuorum { Outcome::Unknown } else { err.kind.outcome() };
+    Refusal(err, outcome)
+}
+
 fn answer(host: &Host, reply: Reply) -> (StatusCode, Json<ChangeAnswer>) {
     let (revision, current) = host.read(|it| (it.config.revision, it.config.operator_revision));
     let refused = |operator_revision, err: Error| {
@@ -149,7 +191,7 @@
 }
 
 async fn metrics(State(host): State<Arc<Host>>) -> String {
-    host.metrics.render()
+    host.metrics.registry.render()
 }
 
 async fn healthz() -> &'static str {
@@ -172,13 +214,21 @@
 }
 
 fn members(host: &Host) -> Vec<Member> {
-    vec![Member {
-        id: Uuid::nil().to_string(),
-        name: host.cfg.name.clone(),
-        zone: host.cfg.zone.clone(),
-        rpc: host.cfg.listen_rpc,
-        role: "leader".into(),
-    }]
+    let standing = host.standing();
+    let leader = standing.leader.map(|(id, _)| id);
+    let role = |id: &MemberId, it: &raft::Member| match it.voter {
+        _ if leader == Some(*id) => "leader",
+        true => "voter",
+        false => "learner",
+    };
+    let member = |(id, it): (&MemberId, &raft::Member)| Member {
+        id: Uuid::from_u128(*id).to_string(),
+        name: it.name.clone(),
+        zone: it.zone.clone(),
+        rpc: it.rpc,
+        role: role(id, it).into(),
+    };
+    standing.membership.members.iter().map(member).collect()
 }
 
 fn operator_state(config: &Config, members: Vec<Member>) -> operator::State {
--- /dev/null
+++ b/src/control/metrics.rs
@@ -0,0 +1,49 @@
+//! Metrics of a control host.
+
+use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec};
+
+use crate::metric::Registry;
+
+/// Metrics of a control host.
+pub struct Metrics {
+    /// All of them.
+    pub registry: Registry,
+    /// Polls by result.
+    pub polls: IntCounterVec,
+    /// Changes by result.
+    pub changes: IntCounterVec,
+    /// Time from the arrival of a change at the leader until it was applied there.
+    pub commit: HistogramVec,
+    /// Time of one sync.
+    pub sync: HistogramVec,
+    /// Term, indices, revision and sizes by name.
+    pub gauges: IntGaugeVec,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::default();
+        let counter = |name, help| registry.counter(name, help, &["result"]);
+        Self {
+            polls: counter("gentianpass_polls_total", "Polls of entry hosts by result"),
+            changes: counter("gentianpass_changes_total", "Submitted changes by result"),
+            commit: registry.duration(
+                "gentianpass_commit_seconds",
+                "Time from the arrival of a change at the leader until it was applied there",
+                &[],
+            ),
+            sync: registry.duration("gentianpass_sync_seconds", "Time of one sync", &[]),
+            gauges: registry.gauge(
+                "gentianpass_control_state_count",
+                "Term, indices, revision and sizes of the control state",
+                &["name"],
+            ),
+            registry,
+        }
+    }
+}
+
+/// The label of a result.
+pub fn label<T, E>(result: &Result<T, E>) -> &'static str {
+    if result.is_ok() { "ok" } else { "failed" }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,11 +1,22 @@
 //! Control hosts and the client that other processes use to reach them.
 
 mod client;
+mod confirm;
+mod driver;
 mod history;
 mod host;
 mod http;
+mod join;
+mod link;
+mod liveness;
+mod machine;
+mod metrics;
+mod peer;
+mod perform;
+mod repair;
 mod rpc;
 mod run;
+mod upkeep;
 
 pub use client::Client;
 pub use run::run;
--- /dev/null
+++ b/src/control/peer.rs
@@ -0,0 +1,90 @@
+//! Connections to other control hosts.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+use tarpc::{
+    client::{self, RpcError},
+    context::{self, Context},
+    serde_transport::tcp,
+    tokio_serde::formats::Bincode,
+};
+use tokio::time::timeout_at;
+
+use crate::{
+    error::{Error, Kind, Result},
+    wire::{MAX_FRAME_BYTES, control::ServiceClient},
+};
+
+/// Another control host. A connection that failed or did not answer in time is replaced.
+pub struct Peer {
+    addr: SocketAddr,
+    connection: tokio::sync::Mutex<Option<Arc<ServiceClient>>>,
+}
+
+impl Peer {
+    /// Makes a call that takes at most `limit`, including a new connection.
+    pub async fn call<T>(
+        &self,
+        limit: Duration,
+        f: impl AsyncFnOnce(&ServiceClient, Context) -> Result<T, RpcError>,
+    ) -> Result<T> {
+        let mut context = context::current();
+        context.deadline = Instant::now() + limit;
+        let client = match timeout_at(context.deadline.into(), self.connect()).await {
+            Ok(client) => client?,
+            Err(_) => return Err(self.failed("no connection in time")),
+        };
+        let answer = timeout_at(context.deadline.into(), f(&client, context)).await;
+        let cause = match answer {
+            Ok(Ok(answer)) => return Ok(answer),
+            Ok(Err(err)) => err.to_string(),
+            Err(_) => "no answer in time".into(),
+        };
+        self.disconnect(&client).await;
+        Err(self.failed(cause))
+    }
+
+    async fn connect(&self) -> Result<Arc<ServiceClient>> {
+        let mut connection = self.connection.lock().await;
+        if let Some(client) = &*connection {
+            return Ok(client.clone());
+        }
+        let mut transport = tcp::connect(self.addr, Bincode::default);
+        transport.config_mut().max_frame_length(MAX_FRAME_BYTES);
+        let transport = transport.await.map_err(|err| self.failed(err))?;
+        let client = Arc::new(ServiceClient::new(client::Config::default(), transport).spawn());
+        *connection = Some(client.clone());
+        Ok(client)
+    }
+
+    async fn disconnect(&self, client: &Arc<ServiceClient>) {
+        let mut connection = self.connection.lock().await;
+        if connection.as_ref().is_some_and(|it| Arc::ptr_eq(it, client)) {
+            *connection = None;
+        }
+    }
+
+    fn failed(&self, cause: impl std::fmt::Display) -> Error {
+        Error::new(Kind::NoQuorum, format!("control host {}: {cause}", self.addr))
+    }
+}
+
+/// All other control hosts by address.
+#[derive(Default)]
+pub struct Peers {
+    peers: Mutex<HashMap<SocketAddr, Arc<Peer>>>,
+}
+
+impl Peers {
+    /// The host with this address.
+    pub fn at(&self, addr: SocketAddr) -> Arc<Peer> {
+        let make = || Arc::new(Peer { addr, connection: tokio::sync::Mutex::default() });
+        self.peers.lock().entry(addr).or_insert_with(make).clone()
+    }
+}
--- /dev/null
+++ b/src/control/repair.rs
@@ -0,0 +1,49 @@
+//! Replacement of voters that stay silent.
+
+use crate::raft::{MemberChange, MemberId, Status};
+
+/// How many entries a learner may lack when it replaces a voter.
+const MAX_LAG_ENTRIES: u64 = 64;
+
+/// A learner that was heard from within this time may replace a voter.
+const LEARNER_ALIVE_MS: u64 = 1_000;
+
+/// The next change of the membership that a leader should make, if any. A silent voter is replaced in two steps: a
+/// caught-up learner becomes a voter, then the silent one becomes a learner.
+pub fn next_change(
+    status: &Status,
+    own: MemberId,
+    now_ms: u64,
+    repair_after_ms: u64,
+) -> Option<MemberChange> {
+    if !status.membership_committed {
+        return None;
+    }
+    let members = &status.membership.members;
+    let silence = |id: &MemberId| {
+        let heard = status.members.get(id).map_or(now_ms, |it| it.heard_ms);
+        if *id == own { 0 } else { now_ms.saturating_sub(heard) }
+    };
+    let replaced = members.values().filter(|it| it.voter).filter_map(|it| it.replaces);
+    if let Some(id) = replaced.into_iter().find(|it| status.membership.is_voter(*it)) {
+        return Some(MemberChange::Demote(id));
+    }
+    let silent = |id: &MemberId| silence(id) >= repair_after_ms;
+    if let Some((dead, voter)) = members.iter().find(|(id, it)| it.voter && silent(id)) {
+        let caught_up = |id: &MemberId| {
+            let matched = status.members.get(id).map_or(0, |it| it.matched);
+            matched + MAX_LAG_ENTRIES >= status.last && silence(id) < LEARNER_ALIVE_MS
+        };
+        let learners = members.iter().filter(|(id, it)| !it.voter && caught_up(id));
+        let best = learners.min_by_key(|(_, it)| it.zone != voter.zone);
+        if let Some((id, _)) = best {
+            return Some(MemberChange::Promote { id: *id, replaces: *dead });
+        }
+    }
+    let superseded = |id: &MemberId| {
+        let rpc = members[id].rpc;
+        members.iter().any(|(other, it)| other != id && it.rpc == rpc)
+    };
+    let old = members.iter().find(|(id, it)| !it.voter && silent(id) && superseded(id));
+    old.map(|(id, _)| MemberChange::Remove(*id))
+}
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -12,13 +12,16 @@
 use tokio::{net::TcpStream, task::JoinSet};
 
 use crate::{
-    control::host::Host,
+    control::{driver::Input, host::Host},
     error::Result,
     event::{Event, Kind},
+    raft::{Index, Message},
     state::Reply,
     wire::{
         MAX_FRAME_BYTES,
-        control::{Poll, Service, ServiceRequest, ServiceResponse, Submit, Update},
+        control::{
+            Heard, Identity, Joined, Poll, Service, ServiceRequest, ServiceResponse, Submit, Update,
+        },
     },
 };
 
@@ -44,6 +47,28 @@
     async fn submit(self, _: Context, submit: Submit) -> Result<Reply> {
         self.host.submit(submit).await
     }
+
+    async fn identity(self, _: Context) -> Identity {
+        self.host.identity()
+    }
+
+    async fn join(self, _: Context, identity: Identity) -> Joined {
+        self.host.ask(|tx| Input::Join(identity, tx)).await.unwrap_or(Joined::Later)
+    }
+
+    async fn raft(self, _: Context, from: SocketAddr, messages: Vec<Message>) {
+        for message in messages {
+            self.host.tell(Input::Message(from, message));
+        }
+    }
+
+    async fn read_index(self, _: Context, heard: Vec<Heard>) -> Result<Index> {
+        self.host.ask(|tx| Input::Read(heard, tx)).await
+    }
+
+    async fn propose(self, _: Context, submit: Submit) -> Result<Reply> {
+        self.host.propose(submit).await
+    }
 }
 
 /// Accepts connections until it is dropped, which also ends their requests.
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -1,34 +1,98 @@
 //! Start and stop of a control host.
 
-use std::sync::Arc;
+use std::{
+    sync::{Arc, mpsc::sync_channel},
+    time::Duration,
+};
 
 use eyre::WrapErr;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::{
+    runtime::{Handle, Runtime},
+    signal::unix::{SignalKind, signal},
+    sync::{mpsc, oneshot},
+    time::timeout,
+};
 
 use crate::{
-    control::{host::Host, http, rpc},
+    control::{
+        confirm,
+        driver::{Driver, Input},
+        host::Host,
+        http, join, rpc,
+    },
     event::{Event, Kind},
-    settings,
+    settings, store,
 };
 
+/// How many inputs wait for the consensus thread.
+const QUEUED_INPUTS: usize = 16_384;
+
+/// How many polls wait for a confirmation.
+const QUEUED_CONFIRMS: usize = 16_384;
+
+/// How long a stopping leader waits for another one, and operators' requests for their answers.
+const STOP_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Runs a control host until SIGTERM or SIGINT.
 pub fn run(cfg: settings::Control) -> eyre::Result<()> {
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
-    runtime.block_on(serve(cfg))
+    let runtime = Runtime::new()?;
+    let result = runtime.block_on(serve(cfg));
+    runtime.shutdown_background();
+    result
 }
 
 async fn serve(cfg: settings::Control) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let (listen_http, listen_rpc) = (cfg.listen_http, cfg.listen_rpc);
-    let host = Arc::new(Host::new(cfg));
-    host.events.record(Event::new(Kind::Started, format!("rpc {listen_rpc} http {listen_http}")));
+    let (log, opened) = store::Log::open(&cfg.data_dir)?;
+    let (inputs_tx, inputs_rx) = sync_channel(QUEUED_INPUTS);
+    let (confirms_tx, confirms_rx) = mpsc::channel(QUEUED_CONFIRMS);
+    let host = Arc::new(Host::new(cfg, opened.id, inputs_tx, confirms_tx));
+    let id = uuid::Uuid::from_u128(host.id);
+    let cause = format!("rpc {listen_rpc} http {listen_http} member {id}");
+    host.events.record(Event::new(Kind::Started, cause));
+    if opened.torn_bytes > 0 {
+        let cause = format!("dropped {} bytes of an interrupted write", opened.torn_bytes);
+        host.events.record(Event::new(Kind::StorageFailed, cause));
+    }
+    let mut driver = start_driver(&host, log, opened.recovered, inputs_rx)?;
+    tokio::spawn(confirm::run(host.clone(), confirms_rx));
+    let (stop_tx, stop_rx) = oneshot::channel();
+    let mut http = tokio::spawn(http::serve(host.clone(), listen_http, stop_rx));
+    let mut rpc = tokio::spawn(rpc::serve(host.clone(), listen_rpc));
+    let join = tokio::spawn(join::run(host.clone()));
     tokio::select! {
-        it = rpc::serve(host.clone(), listen_rpc) => it.wrap_err_with(|| format!("listener {listen_rpc}"))?,
-        it = http::serve(host.clone(), listen_http) => it.wrap_err_with(|| format!("listener {listen_http}"))?,
+        it = &mut rpc => it?.wrap_err_with(|| format!("listener {listen_rpc}"))?,
+        it = &mut http => it?.wrap_err_with(|| format!("listener {listen_http}"))?,
+        it = &mut driver => return it.unwrap_or_else(|_| Err(eyre::eyre!("consensus thread"))),
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
     host.events.record(Event::new(Kind::Stopping, "signal"));
+    join.abort();
+    let _ = timeout(STOP_TIMEOUT, host.ask(Input::Stop)).await;
+    let _ = stop_tx.send(());
+    let _ = timeout(STOP_TIMEOUT, http).await;
     Ok(())
 }
+
+/// Starts the consensus thread. The receiver gets the error that ends it.
+fn start_driver(
+    host: &Arc<Host>,
+    log: store::Log,
+    recovered: crate::raft::Recovered,
+    inputs: std::sync::mpsc::Receiver<Input>,
+) -> eyre::Result<oneshot::Receiver<eyre::Result<()>>> {
+    let driver = Driver::new(host.clone(), log, recovered, Handle::current())?;
+    let (tx, rx) = oneshot::channel();
+    let host = host.clone();
+    std::thread::Builder::new().name("consensus".into()).spawn(move || {
+        let result = driver.run(&inputs);
+        if let Err(err) = &result {
+            host.events.record(Event::new(Kind::StorageFailed, format!("{err:#}")));
+        }
+        let _ = tx.send(result);
+    })?;
+    Ok(rx)
+}
--- a/src/store/folder.rs
+++ b/src/store/folder.rs
@@ -9,7 +9,7 @@
 use crate::store::{Error, Result};
 
 /// How much space is kept for votes and heartbeats of a full disk.
-const RESERVE_BYTES: usize = 4 << 20;
+pub const RESERVE_BYTES: usize = 4 << 20;
 
 /// The data folder.
 pub struct Folder {
--- a/src/store/log.rs
+++ b/src/store/log.rs
@@ -13,11 +13,14 @@
     raft::{Entry, HardState, MemberId, Recovered, Save, Snapshot},
     store::{
         Error, Result,
-        folder::{Folder, failed},
+        folder::{Folder, RESERVE_BYTES, failed},
         frame::{self, Found},
     },
 };
 
+/// How much a log may grow on a full disk: half of the reserve, so that votes still find space.
+const MAX_GROWTH_BYTES: u64 = RESERVE_BYTES as u64 / 2;
+
 /// One thing that was saved.
 #[derive(Serialize, Deserialize)]
 enum Record {
@@ -42,7 +45,8 @@
     file: File,
     bytes: u64,
     hard: HardState,
-    full: bool,
+    /// The length of the log when the disk was found full.
+    full: Option<u64>,
 }
 
 impl Log {
@@ -60,8 +64,8 @@
         let (hard, entries, end) = replay(&folder, &bytes)?;
         let torn_bytes = (bytes.len() - end) as u64;
         let file = open_at(&folder, end as u64)?;
-        let full = !folder.reserve()?;
-        let mut log = Self { folder, file, bytes: end as u64, hard, full };
+        let mut log = Self { folder, file, bytes: end as u64, hard, full: None };
+        log.look_for_space()?;
         let mut recovered = Recovered { hard, snapshot, entries };
         if recovered.drop_stale() {
             log.rewrite(Vec::new())?;
@@ -77,8 +81,8 @@
             hard.into_iter().chain(save.entries.into_iter().map(Record::Entry)).collect();
         let frame = frame::encode(&records);
         match self.append(&frame) {
-            Err(Error::Full { .. }) if !self.full => {
-                self.full = true;
+            Err(Error::Full { .. }) if self.full.is_none() => {
+                self.full = Some(self.bytes);
                 self.folder.release();
                 self.append(&frame)
             }
@@ -108,14 +112,20 @@
         self.bytes
     }
 
-    /// Whether the disk was full at the last look. Only votes and the like may be saved then.
+    /// Whether the disk was full at the last look. New changes are rejected then.
     pub fn is_full(&self) -> bool {
-        self.full
+        self.full.is_some()
+    }
+
+    /// Whether the disk is full and what was kept for that case is nearly used up, so that only votes may be saved.
+    pub fn is_exhausted(&self) -> bool {
+        self.full.is_some_and(|it| self.bytes > it + MAX_GROWTH_BYTES)
     }
 
     /// Looks whether the disk has space again.
     pub fn look_for_space(&mut self) -> Result<()> {
-        self.full = !self.folder.reserve()?;
+        let full = !self.folder.reserve()?;
+        self.full = full.then(|| self.full.unwrap_or(self.bytes));
         Ok(())
     }
 
--- a/src/wire/control.rs
+++ b/src/wire/control.rs
@@ -1,9 +1,12 @@
-//! Messages between entry hosts and control hosts.
+//! Messages between entry hosts and control hosts, and among control hosts.
+
+use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     error::Error,
+    raft::{Index, MemberId, Message},
     state::{Change, ChangeId, Config, Reply, Revision},
 };
 
@@ -52,11 +55,56 @@
     pub change: Change,
 }
 
-/// What control hosts offer to entry hosts and operators' tools.
+/// What a control host tells about itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    /// The member identity.
+    pub id: MemberId,
+    /// The name of the host.
+    pub name: String,
+    /// The availability zone.
+    pub zone: String,
+    /// The RPC address.
+    pub rpc: SocketAddr,
+    /// The cluster that the host belongs to; none if its data folder is empty.
+    pub cluster: Option<u128>,
+}
+
+/// The answer to a control host that wants to become a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Joined {
+    /// The host is a member, or will be soon.
+    Accepted,
+    /// The leader has this address.
+    Ask(SocketAddr),
+    /// There is no known leader, or another member joins at present.
+    Later,
+}
+
+/// A process of an entry host that sent a poll.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Heard {
+    /// The name of the host.
+    pub node: String,
+    /// The process.
+    pub incarnation: u64,
+}
+
+/// What control hosts offer to entry hosts and operators' tools, and to each other.
 #[tarpc::service]
 pub trait Service {
     /// Waits for newer configuration.
     async fn poll(poll: Poll) -> Result<Update, Error>;
     /// Commits a change.
     async fn submit(submit: Submit) -> Result<Reply, Error>;
+    /// Control hosts only: who this host is.
+    async fn identity() -> Identity;
+    /// Control hosts only: asks the leader to take the host in.
+    async fn join(identity: Identity) -> Joined;
+    /// Control hosts only: messages of the consensus. `from` is the RPC address of the sender.
+    async fn raft(from: SocketAddr, messages: Vec<Message>);
+    /// Control hosts only: asks the leader for an index at which a read is not stale, and tells it who polled.
+    async fn read_index(heard: Vec<Heard>) -> Result<Index, Error>;
+    /// Control hosts only: commits a change if this host leads.
+    async fn propose(submit: Submit) -> Result<Reply, Error>;
 }
--- /dev/null
+++ b/tests/control/cluster.rs
@@ -0,0 +1,257 @@
+//! Control hosts as processes in a temporary folder.
+
+use std::{
+    fs,
+    future::Future,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
+    time::{Duration, Instant},
+};
+
+use gentianpass::{
+    control::Client,
+    error::Result,
+    state::{Change, Object, ObjectKind, Reply},
+    wire::{
+        control::{Poll, Update},
+        operator::{ChangeAnswer, ChangeRequest, Edit, State},
+    },
+};
+use http_body_util::{BodyExt, Collected, Full};
+use hyper::{Method, Request, body::Bytes};
+use hyper_util::{client::legacy, rt::TokioExecutor};
+use serde_json::Value;
+use tempfile::TempDir;
+use uuid::Uuid;
+
+pub const ZONES: [&str; 3] = ["tayside-a", "lothian-a", "highland-a"];
+pub const TOKEN: &str = "operators-only";
+
+/// An upper bound for things that happen within a second on an idle machine.
+pub const SOON: Duration = Duration::from_secs(15);
+
+/// A control host.
+pub struct Host {
+    pub http: SocketAddr,
+    pub rpc: SocketAddr,
+    pub data: PathBuf,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+/// Some control hosts; they end with the test.
+pub struct Cluster {
+    pub hosts: Vec<Host>,
+    dir: TempDir,
+    voters: Vec<SocketAddr>,
+    options: String,
+}
+
+/// A port outside of the range from which the system takes ports of outgoing connections.
+fn free_addr() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = (std::process::id() % 150) as u16 * 100;
+    loop {
+        let port = 12_000 + (start + NEXT.fetch_add(1, Ordering::Relaxed)) % 20_000;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
+}
+
+impl Cluster {
+    /// Starts three voters in three zones. `options` are further lines of their settings.
+    pub fn start(options: &str) -> Self {
+        let mut cluster = Self::prepare(options);
+        (0..3).for_each(|i| cluster.spawn(i));
+        cluster
+    }
+
+    /// Writes the settings of three voters.
+    pub fn prepare(options: &str) -> Self {
+        let dir = TempDir::new().expect("temporary folder");
+        let voters = (0..3).map(|_| free_addr()).collect();
+        let mut cluster = Self { hosts: Vec::new(), dir, voters, options: options.into() };
+        for (i, zone) in ZONES.iter().enumerate() {
+            let rpc = cluster.voters[i];
+            cluster.add(zone, "voter", rpc);
+        }
+        cluster
+    }
+
+    /// Adds a learner in this zone and starts it.
+    pub fn add_spare(&mut self, zone: &str) -> usize {
+        self.add(zone, "spare", free_addr());
+        self.spawn(self.hosts.len() - 1);
+        self.hosts.len() - 1
+    }
+
+    fn add(&mut self, zone: &str, role: &str, rpc: SocketAddr) {
+        let name = format!("control-{}", self.hosts.len());
+        let data = self.dir.path().join(&name);
+        let settings = self.dir.path().join(format!("{name}.toml"));
+        let http = free_addr();
+        let peers: Vec<_> = self.voters.iter().map(|it| format!("\"{it}\"")).collect();
+        let text = format!(
+            "name = \"{name}\"\nzone = \"{zone}\"\nrole = \"{role}\"\nlisten_http = \"{http}\"\n\
+             listen_rpc = \"{rpc}\"\ndata_dir = {data:?}\npeers = [{}]\n\
+             operator_token = \"{TOKEN}\"\n{}\n",
+            peers.join(", "),
+            self.options
+        );
+        fs::write(&settings, text).expect("writable");
+        self.hosts.push(Host { http, rpc, data, settings, child: None });
+    }
+
+    /// Starts the process of a host.
+    pub fn spawn(&mut self, i: usize) {
+        let host = &mut self.hosts[i];
+        let log = host.settings.with_extension("log");
+        let log = fs::File::options().create(true).append(true).open(log).expect("log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_gentianpass-control"))
+            .arg("--settings")
+            .arg(&host.settings)
+            .stderr(Stdio::from(log))
+            .spawn();
+        host.child = Some(child.expect("started"));
+    }
+
+    /// Kills the process of a host without warning.
+    pub fn kill(&mut self, i: usize) {
+        if let Some(mut child) = self.hosts[i].child.take() {
+            child.kill().expect("killed");
+            child.wait().expect("ended");
+        }
+    }
+
+    /// Sends a signal, such as `STOP`, to the process of a host.
+    pub fn signal(&self, i: usize, signal: &str) {
+        let pid = self.hosts[i].child.as_ref().expect("running").id();
+        let sent = Command::new("sh").args(["-c", &format!("kill -{signal} {pid}")]).status();
+        assert!(sent.expect("shell").success());
+    }
+
+    /// The exit status of a process that ended by itself.
+    pub async fn exit(&mut self, i: usize) -> std::process::ExitStatus {
+        let mut child = self.hosts[i].child.take().expect("running");
+        until("the process ends", async || child.try_wait().expect("child")).await
+    }
+
+    /// What the process of a host has logged.
+    pub fn log(&self, i: usize) -> String {
+        fs::read_to_string(self.hosts[i].settings.with_extension("log")).expect("log file")
+    }
+
+    /// A client that knows these hosts only.
+    pub fn client(&self, hosts: &[usize]) -> Client {
+        Client::new(hosts.iter().map(|it| self.hosts[*it].rpc).collect())
+    }
+
+    /// One request of an operator.
+    pub async fn http(&self, i: usize, method: Method, path: &str, body: &str) -> (u16, Value) {
+        let uri = format!("http://{}{path}", self.hosts[i].http);
+        let request = Request::builder()
+            .method(method)
+            .uri(uri)
+            .header("authorization", format!("Bearer {TOKEN}"))
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .expect("request");
+        let client = legacy::Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+        let Ok(answer) = client.request(request).await else { return (0, Value::Null) };
+        let status = answer.status().as_u16();
+        let body = answer.into_body().collect().await.map(Collected::to_bytes).unwrap_or_default();
+        (status, serde_json::from_slice(&body).unwrap_or(Value::Null))
+    }
+
+    /// The state as this host shows it; none if it cannot confirm it.
+    pub async fn state(&self, i: usize) -> Option<State> {
+        let (status, body) = self.http(i, Method::GET, "/v1/state", "").await;
+        (status == 200).then(|| serde_json::from_value(body).expect("state"))
+    }
+
+    /// Waits until a host shows a state that satisfies the condition.
+    pub async fn state_where(&self, i: usize, what: &str, holds: impl Fn(&State) -> bool) -> State {
+        until(what, async || self.state(i).await.filter(&holds)).await
+    }
+
+    /// Waits for a leader among the voters and returns its number.
+    pub async fn leader(&self, asked: usize) -> usize {
+        let leader = |it: &State| it.members.iter().find(|it| it.role == "leader").map(|it| it.rpc);
+        let state = self.state_where(asked, "a leader is known", |it| leader(it).is_some()).await;
+        let rpc = leader(&state).expect("leader");
+        self.hosts.iter().position(|it| it.rpc == rpc).expect("known host")
+    }
+
+    /// Sends a change to a host.
+    pub async fn change(&self, i: usize, id: Uuid, base: u64, edit: Edit) -> (u16, Value) {
+        let request = ChangeRequest { id: id.to_string(), base, edit };
+        let body = serde_json::to_string(&request).expect("request");
+        self.http(i, Method::POST, "/v1/changes", &body).await
+    }
+
+    /// Sets a label on the current base and waits until it is accepted.
+    pub async fn set(&self, i: usize, name: &str, value: &str) -> ChangeAnswer {
+        until("the change is accepted", async || {
+            let base = self.state(i).await?.operator_revision;
+            let (status, body) = self.change(i, Uuid::new_v4(), base, edit(name, value)).await;
+            (status == 200).then(|| serde_json::from_value(body).expect("answer"))
+        })
+        .await
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        (0..self.hosts.len()).for_each(|i| self.kill(i));
+    }
+}
+
+/// An edit that sets the label `value` of a caller.
+pub fn edit(name: &str, value: &str) -> Edit {
+    let object = Object::new(ObjectKind::Caller, name);
+    Edit::SetLabel { object, key: "team".into(), value: value.into() }
+}
+
+/// The value of the label that [`edit`] sets.
+pub fn label(state: &State, name: &str) -> Option<String> {
+    let object = Object::new(ObjectKind::Caller, name);
+    let labels = &state.labels.iter().find(|it| it.object == object)?.labels;
+    labels.get("team").cloned()
+}
+
+/// A poll of an entry host that waits at most 200 ms.
+pub async fn poll(client: &Client, node: &str, revision: u64) -> Result<Update> {
+    client.poll(Poll { node: node.into(), incarnation: 1, revision, wait_ms: 200 }).await
+}
+
+/// A change of an entry host.
+pub async fn submit(client: &Client, change: Change) -> Result<Reply> {
+    client.submit(None, change, SOON).await
+}
+
+/// Asks until there is an answer.
+pub async fn until<T>(what: &str, mut ask: impl AsyncFnMut() -> Option<T>) -> T {
+    within(what, SOON, async || {
+        loop {
+            if let Some(it) = ask().await {
+                return it;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    })
+    .await
+}
+
+/// Fails if something takes longer than `limit`.
+pub async fn within<T, F: Future<Output = T>>(
+    what: &str,
+    limit: Duration,
+    f: impl FnOnce() -> F,
+) -> T {
+    let start = Instant::now();
+    let result = tokio::time::timeout(limit, f()).await;
+    result.unwrap_or_else(|_| panic!("{what}: not within {limit:?}, started {:?}", start.elapsed()))
+}
--- /dev/null
+++ b/tests/control/polls.rs
@@ -0,0 +1,58 @@
+//! Polls of entry hosts, and peers that send invalid data.
+
+use std::io::{Read, Write};
+
+use gentianpass::{state::Config, wire::control::Update};
+
+use crate::cluster::{Cluster, poll, until};
+
+/// Guards against an entry host whose configuration differs from the control hosts' after it applied their changes.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_lead_to_the_same_config() {
+    let cluster = Cluster::start("");
+    let client = cluster.client(&[2]);
+    let mut config = Config::default();
+    for round in 0..5 {
+        let answer = cluster.set(round % 3, "caller", &format!("v{round}")).await;
+        until("the entry host has the change", async || {
+            match poll(&client, "entry", config.revision).await.ok()? {
+                Update::Changes(changes) => {
+                    for it in changes {
+                        config.apply(&it.change, it.at_ms).expect("applicable");
+                        assert_eq!(config.revision, it.revision);
+                    }
+                }
+                Update::Config(it) => config = *it,
+            }
+            (config.revision >= answer.revision).then_some(())
+        })
+        .await;
+    }
+    let state = cluster.state(0).await.expect("state");
+    assert_eq!((config.revision, config.labels.len()), (state.revision, state.labels.len()));
+    let whole = poll(&client, "entry", u64::MAX).await.expect("whole configuration");
+    let Update::Config(whole) = whole else { panic!("{whole:?}") };
+    assert_eq!(*whole, config);
+}
+
+/// Guards against a host that is brought down, or whose log is filled, by a peer that sends invalid data.
+#[tokio::test(flavor = "multi_thread")]
+async fn invalid_data_is_cut_off() {
+    let cluster = Cluster::start("");
+    cluster.leader(0).await;
+    let invalid: [&[u8]; 3] = [&[0xff; 64], b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\x05hello"];
+    for bytes in invalid {
+        let before = cluster.log(0).matches("event=peer_rejected").count();
+        let mut peer = std::net::TcpStream::connect(cluster.hosts[0].rpc).expect("connected");
+        peer.write_all(bytes).expect("sent");
+        peer.set_read_timeout(Some(crate::cluster::SOON)).expect("time limit");
+        let read = peer.read(&mut [0; 1]);
+        assert!(!matches!(read, Ok(1..)), "{read:?}");
+        let count = until("the peer is logged", async || {
+            let count = cluster.log(0).matches("event=peer_rejected").count();
+            (count > before).then_some(count)
+        });
+        assert_eq!(count.await, before + 1);
+    }
+    assert!(cluster.state(0).await.is_some());
+}
