--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -158,7 +158,10 @@
         Phase::Rejecting => Err(Kind::Leaving.into()),
         Phase::Serving | Phase::Leaving => host.check_lease(),
     };
-    reply::answer(serving.map(|()| "ok"))
+    match serving {
+        Ok(()) => "ok\n".into_response(),
+        Err(err) => Rejection::from(err).response(None),
+    }
 }
 
 async fn no_path() -> Response {
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! The entry host: input, leases, queries, dispatch, announcements and the planned stop.
 
 mod announce;
+mod api;
 mod control;
 mod dispatch;
 mod input;
