Show what happened to a target's zone when a target is explained

Cause: a target without new work often has its cause in its zone, whose events name no target. Ruled out: all events of the zone, because those of other targets would hide the cause.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeSet,
     io::Write,
+    net::SocketAddr,
     time::{Duration, UNIX_EPOCH},
 };
 
@@ -12,9 +13,11 @@
 use crate::{
     cmd::{
         Context,
+        api::Api,
         output::{self, Format},
     },
     event::{Event, Filter, unix_ms},
+    wire::operator::State,
 };
 
 /// How many hosts are asked at once.
@@ -40,7 +43,7 @@
     /// Events of the request with this id, as answers show it.
     #[arg(long, value_name = "ID", value_parser = super::name)]
     request: Option<String>,
-    /// Events of this target.
+    /// Events of this target, and those of its whole zone.
     #[arg(long, value_name = "NAME", value_parser = super::name)]
     target: Option<String>,
     /// Events of this availability zone.
@@ -57,13 +60,12 @@
 pub(super) async fn run<W: Write>(ctx: &mut Context<W>, args: Args) -> Result<()> {
     let state = ctx.api.state().await?;
     let since_ms = unix_ms().saturating_sub(args.since.as_millis() as u64);
-    let Args { subject: Subject { request, target, zone }, since } = args;
-    let filter = Filter { request, target, zone, since_ms };
+    let filters = filters(args.subject, &state, since_ms);
     let nodes = state.nodes.iter().map(|it| it.http);
     let hosts: BTreeSet<_> = ctx.api.control().iter().copied().chain(nodes).collect();
-    let (api, filter) = (&ctx.api, &filter);
+    let (api, filters) = (&ctx.api, &filters);
     let answers: Vec<_> = stream::iter(hosts)
-        .map(|host| async move { api.events(host, filter).await.map_err(|err| (host, err)) })
+        .map(|host| async move { find(api, host, filters).await.map_err(|err| (host, err)) })
         .buffered(PARALLEL_HOSTS)
         .collect()
         .await;
@@ -76,13 +78,36 @@
         }
     }
     events.sort_by(|a, b| (a.at_ms, &a.host).cmp(&(b.at_ms, &b.host)));
-    print(ctx, &events, since)?;
+    print(ctx, &events, args.since)?;
     if !failures.is_empty() {
         bail!("the list is incomplete, no events from {}", output::list(failures));
     }
     Ok(())
 }
 
+/// The events to ask for: those of the subject and, for a target, those of its zone, which may be the cause.
+fn filters(subject: Subject, state: &State, since_ms: u64) -> Vec<Filter> {
+    let Subject { request, target, zone } = subject;
+    let known = state.targets.iter().find(|it| Some(&it.name) == target.as_ref());
+    let zone_of_target = known.map(|it| it.zone.clone());
+    let mut filters = vec![Filter { request, target, zone, since_ms }];
+    filters.extend(zone_of_target.map(|it| Filter {
+        zone: Some(it),
+        since_ms,
+        ..Filter::default()
+    }));
+    filters
+}
+
+async fn find(api: &Api, host: SocketAddr, filters: &[Filter]) -> Result<Vec<Event>> {
+    let mut events = api.events(host, &filters[0]).await?;
+    for filter in &filters[1..] {
+        let found = api.events(host, filter).await?;
+        events.extend(found.into_iter().filter(|it| it.target.is_none() && it.request.is_none()));
+    }
+    Ok(events)
+}
+
 fn print<W: Write>(ctx: &mut Context<W>, events: &[Event], since: Duration) -> Result<()> {
     if ctx.format == Format::Json {
         return output::json(&mut ctx.out, &events);
--- a/tests/cmd/change.rs
+++ b/tests/cmd/change.rs
@@ -1,7 +1,6 @@
-use expect_test::expect;
 use gentianpass::state::Change;
 
-use crate::{check, fake::Fake};
+use crate::{fake::Fake, run};
 
 fn race(fake: &Fake) {
     let object = "zone/y".parse().expect("object");
@@ -19,9 +18,11 @@
 async fn conflict_stops() {
     let fake = Fake::start().await;
     race(&fake);
-    check(&fake, "zone out x", expect![[r#"
-        error: conflict: the operator revision is 7, the change builds on 6; nothing was applied. Look at the state and run the command again, or add --force-retry
-    "#]]).await;
+    let out = run(&fake, "zone out x").await;
+    assert_eq!(
+        out,
+        "error: conflict: the operator revision is 7, the change builds on 6; nothing was applied. Look at the state and run the command again, or add --force-retry\n"
+    );
     assert!(!drained(&fake, "x"));
 }
 
@@ -30,14 +31,8 @@
 async fn conflict_force_retry() {
     let fake = Fake::start().await;
     race(&fake);
-    check(
-        &fake,
-        "zone out x --force-retry",
-        expect![[r#"
-            applied at revision 8
-        "#]],
-    )
-    .await;
+    let out = run(&fake, "zone out x --force-retry").await;
+    assert_eq!(out, "applied at revision 8\n");
     assert!(drained(&fake, "x") && drained(&fake, "y"));
     let ids = &fake.plan().ids;
     assert_eq!(ids.len(), 2);
@@ -50,9 +45,11 @@
     let fake = Fake::start().await;
     let looked_at = fake.plan().tables.config.operator_revision;
     fake.set_label("zone/y", "drain", "true");
-    check(&fake, &format!("zone out x --base {looked_at}"), expect![[r#"
-        error: conflict: the operator revision is 7, the change builds on 6; nothing was applied. Look at the state and run the command again, or add --force-retry
-    "#]]).await;
+    let out = run(&fake, &format!("zone out x --base {looked_at}")).await;
+    assert_eq!(
+        out,
+        "error: conflict: the operator revision is 7, the change builds on 6; nothing was applied. Look at the state and run the command again, or add --force-retry\n"
+    );
     assert!(!drained(&fake, "x"));
 }
 
@@ -61,14 +58,8 @@
 async fn lost_answer_same_id() {
     let fake = Fake::start().await;
     fake.plan().lost_answers = 2;
-    check(
-        &fake,
-        "zone out x",
-        expect![[r#"
-            applied at revision 7
-        "#]],
-    )
-    .await;
+    let out = run(&fake, "zone out x").await;
+    assert_eq!(out, "applied at revision 7\n");
     assert!(drained(&fake, "x"));
     let ids = &fake.plan().ids;
     assert_eq!(ids.len(), 3);
@@ -80,29 +71,11 @@
 async fn change_id_repeated() {
     let fake = Fake::start().await;
     let args = "zone out x --change-id 6f1ff4b6-8f8c-4c67-a6c6-33d9a0f6a1f4";
-    check(
-        &fake,
-        args,
-        expect![[r#"
-            applied at revision 7
-        "#]],
-    )
-    .await;
-    check(
-        &fake,
-        "zone in x",
-        expect![[r#"
-            applied at revision 8
-        "#]],
-    )
-    .await;
-    check(
-        &fake,
-        args,
-        expect![[r#"
-            applied at revision 7
-        "#]],
-    )
-    .await;
+    let out = run(&fake, args).await;
+    assert_eq!(out, "applied at revision 7\n");
+    let out = run(&fake, "zone in x").await;
+    assert_eq!(out, "applied at revision 8\n");
+    let out = run(&fake, args).await;
+    assert_eq!(out, "applied at revision 7\n");
     assert!(!drained(&fake, "x"));
 }
--- a/tests/cmd/explain.rs
+++ b/tests/cmd/explain.rs
@@ -3,35 +3,41 @@
 use expect_test::expect;
 use gentianpass::event::{Event, unix_ms};
 
-use crate::{check, fake::Fake, run};
+use crate::{fake::Fake, run};
 
 /// Guards against events that are missing, out of order, or of another subject.
 #[tokio::test]
 async fn explain_subjects() {
     let fake = Fake::start().await;
-    check(
-        &fake,
-        "explain --zone x",
-        expect![[r#"
+    let out = run(&fake, "explain --zone x").await;
+    expect![[r#"
         TIME                      HOST  EVENT           REQUEST  TARGET  ZONE  CAUSE
         2026-12-04T07:00:00.000Z  n-x   lease_gained    -        -       x     first poll
         2026-12-04T07:00:00.500Z  c1    config_applied  -        -       x     zone/x: drain=true
         2026-12-04T07:00:00.750Z  n-x   rejected        r1       ld-0-x  x     the target drains
 
-    "#]],
-    )
-    .await;
+    "#]]
+    .assert_eq(&out);
     let out = run(&fake, "explain --request r1 --json").await;
     let events: Vec<Event> = serde_json::from_str(&out).expect("JSON");
     assert_eq!(events.iter().map(|it| it.host.as_str()).collect::<Vec<_>>(), ["n-x"]);
-    check(
-        &fake,
-        "explain --target ld-0-y --since 90s",
-        expect![[r#"
-        no events in the last 1m 30s
-    "#]],
-    )
-    .await;
+    let out = run(&fake, "explain --target ld-0-y --since 90s").await;
+    assert_eq!(out, "no events in the last 1m 30s\n");
+}
+
+/// Guards against an explanation of a target that leaves out what happened to its zone.
+#[tokio::test]
+async fn explain_target_zone() {
+    let fake = Fake::start().await;
+    let out = run(&fake, "explain --target ld-0-x").await;
+    expect![[r#"
+        TIME                      HOST  EVENT           REQUEST  TARGET  ZONE  CAUSE
+        2026-12-04T07:00:00.000Z  n-x   lease_gained    -        -       x     first poll
+        2026-12-04T07:00:00.500Z  c1    config_applied  -        -       x     zone/x: drain=true
+        2026-12-04T07:00:00.750Z  n-x   rejected        r1       ld-0-x  x     the target drains
+
+    "#]]
+    .assert_eq(&out);
 }
 
 /// Guards against a time limit that is not passed on to every host.
--- a/tests/cmd/group.rs
+++ b/tests/cmd/group.rs
@@ -1,18 +1,19 @@
 use expect_test::expect;
 
-use crate::{check, fake::Fake};
+use crate::{fake::Fake, run};
 
 /// Guards against a group that loses its targets unseen.
 #[tokio::test]
 async fn set_diff() {
     let fake = Fake::start().await;
     let args = "group set label-designer --index labels --match service=labels --diff";
-    check(&fake, args, expect![[r#"
+    let out = run(&fake, args).await;
+    expect![[r#"
         Nothing was applied. Add --base 6 to apply exactly this change:
         group label-designer: version 7 covers 2 of 2 shards -> version 7 covers 0 of 2 shards, usable targets 3 -> 0
         SHARD LOST: group label-designer version 7 shard 0 has no usable replica
         SHARD LOST: group label-designer version 7 shard 1 has no usable replica
-    "#]]).await;
+    "#]].assert_eq(&out);
     assert!(fake.plan().ids.is_empty(), "nothing is sent");
 }
 
@@ -20,33 +21,18 @@
 #[tokio::test]
 async fn set_list_remove() {
     let fake = Fake::start().await;
-    check(
-        &fake,
-        "group set all --index labels",
-        expect![[r#"
-            applied at revision 7
-        "#]],
-    )
-    .await;
-    check(
-        &fake,
-        "group list",
-        expect![[r#"
+    let out = run(&fake, "group set all --index labels").await;
+    assert_eq!(out, "applied at revision 7\n");
+    let out = run(&fake, "group list").await;
+    expect![[r#"
         GROUP           INDEX   MATCH
         all             labels  -
         label-designer  labels  service=label-designer
 
-    "#]],
-    )
-    .await;
-    check(
-        &fake,
-        "group remove all",
-        expect![[r#"
-            applied at revision 8
-        "#]],
-    )
-    .await;
+    "#]]
+    .assert_eq(&out);
+    let out = run(&fake, "group remove all").await;
+    assert_eq!(out, "applied at revision 8\n");
     assert!(!fake.plan().tables.config.groups.contains_key("all"));
 }
 
@@ -55,10 +41,12 @@
 async fn remove_named_by_selector() {
     let fake = Fake::start().await;
     fake.add_selector();
-    check(&fake, "group remove label-designer", expect![[r#"
+    let out = run(&fake, "group remove label-designer").await;
+    expect![[r#"
         error: bad_request: selector "designers" still names the group "label-designer"; nothing was applied
-    "#]]).await;
-    check(&fake, "group remove label-designer --diff", expect![[r#"
+    "#]].assert_eq(&out);
+    let out = run(&fake, "group remove label-designer --diff").await;
+    expect![[r#"
         error: the change would be rejected: bad_request: selector "designers" still names the group "label-designer"
-    "#]]).await;
+    "#]].assert_eq(&out);
 }
--- a/tests/cmd/main.rs
+++ b/tests/cmd/main.rs
@@ -13,7 +13,6 @@
 use std::io::Write;
 
 use clap::Parser;
-use expect_test::Expect;
 use gentianpass::cmd;
 use tempfile::NamedTempFile;
 
@@ -35,7 +34,3 @@
     }
     fake.fixed_ports(out)
 }
-
-async fn check(fake: &Fake, args: &str, expected: Expect) {
-    expected.assert_eq(&run(fake, args).await);
-}
--- a/tests/cmd/selector.rs
+++ b/tests/cmd/selector.rs
@@ -1,6 +1,6 @@
 use expect_test::expect;
 
-use crate::{check, fake::Fake};
+use crate::{fake::Fake, run};
 
 /// Guards against access that is given or taken unseen.
 #[tokio::test]
@@ -9,26 +9,20 @@
     fake.set_label("caller/janitor", "team", "design");
     fake.add_selector();
     let args = "selector set designers --group label-designer --kind label-page --caller team=design --diff";
-    check(
-        &fake,
-        args,
-        expect![[r#"
-            Nothing was applied. Add --base 8 to apply exactly this change:
-            caller janitor loses label-search to group label-designer
-            caller janitor gains label-page to group label-designer
-        "#]],
-    )
-    .await;
+    let out = run(&fake, args).await;
+    expect![[r#"
+        Nothing was applied. Add --base 8 to apply exactly this change:
+        caller janitor loses label-search to group label-designer
+        caller janitor gains label-page to group label-designer
+    "#]]
+    .assert_eq(&out);
     let args = "selector set everyone --group label-designer --kind label-search --diff";
-    check(
-        &fake,
-        args,
-        expect![[r#"
-            Nothing was applied. Add --base 8 to apply exactly this change:
-            caller (callers without labels) gains label-search to group label-designer
-        "#]],
-    )
-    .await;
+    let out = run(&fake, args).await;
+    expect![[r#"
+        Nothing was applied. Add --base 8 to apply exactly this change:
+        caller (callers without labels) gains label-search to group label-designer
+    "#]]
+    .assert_eq(&out);
     assert!(fake.plan().ids.is_empty(), "nothing is sent");
 }
 
@@ -37,32 +31,17 @@
 async fn set_list_remove() {
     let fake = Fake::start().await;
     let args = "selector set designers --group label-designer --kind label-search --kind label-page --caller team=design";
-    check(
-        &fake,
-        args,
-        expect![[r#"
-            applied at revision 7
-        "#]],
-    )
-    .await;
-    check(
-        &fake,
-        "selector list",
-        expect![[r#"
+    let out = run(&fake, args).await;
+    assert_eq!(out, "applied at revision 7\n");
+    let out = run(&fake, "selector list").await;
+    expect![[r#"
         SELECTOR   CALLERS      KINDS                     GROUP
         designers  team=design  label-page, label-search  label-designer
 
-    "#]],
-    )
-    .await;
-    check(
-        &fake,
-        "selector remove designers",
-        expect![[r#"
-            applied at revision 8
-        "#]],
-    )
-    .await;
+    "#]]
+    .assert_eq(&out);
+    let out = run(&fake, "selector remove designers").await;
+    assert_eq!(out, "applied at revision 8\n");
     assert!(fake.plan().tables.config.selectors.is_empty());
 }
 
@@ -70,12 +49,9 @@
 #[tokio::test]
 async fn set_unknown_group() {
     let fake = Fake::start().await;
-    check(
-        &fake,
-        "selector set s --group nothing --kind k",
-        expect![[r#"
+    let out = run(&fake, "selector set s --group nothing --kind k").await;
+    expect![[r#"
         error: not_found: there is no group "nothing"; nothing was applied
-    "#]],
-    )
-    .await;
+    "#]]
+    .assert_eq(&out);
 }
--- a/tests/cmd/status.rs
+++ b/tests/cmd/status.rs
@@ -2,41 +2,38 @@
 
 use expect_test::expect;
 
-use crate::{check, fake::Fake, run};
+use crate::{fake::Fake, run};
 
 /// Guards against a status that hides drained zones, lost shards or limits.
 #[tokio::test]
 async fn status_drained_zone() {
     let fake = Fake::start().await;
     fake.set_label("zone/x", "drain", "true");
-    check(
-        &fake,
-        "status",
-        expect![[r#"
-            revision 7, operator revision 7
-
-            CONTROL HOST  ZONE  ROLE    RPC
-            c1            x     leader  127.0.0.1:7001
-
-            ZONE  STATE       ENTRY HOSTS  USABLE TARGETS
-            x     drained     1            0 of 2
-            y     in service  1            1 of 1
-
-            GROUP           INDEX   VERSION  STATE       SHARDS HELD  SHARDS USABLE
-            label-designer  labels  7        INCOMPLETE  2 of 2       1 of 2
-
-            ENTRY HOST  ZONE  HTTP             STATE    LEASE MS  REVISION  OWNED TARGETS
-            n-x         x     127.0.0.1:00001  drained  1800      7         2
-            n-y         y     127.0.0.1:00002  serving  1800      7         1
-
-            TARGET  ZONE  STATE        OWNER       LIMIT   IN FLIGHT  QUEUED  CONNECTIONS
-            ld-0-x  x     zone drains  n-x -> n-y  2 of 3  1          0       4
-            ld-0-y  y     in use       n-y         2 of 3  1          0       4
-            ld-1-x  x     zone drains  n-x -> n-y  2 of 3  1          0       4
-
-        "#]],
-    )
-    .await;
+    let out = run(&fake, "status").await;
+    expect![[r#"
+        revision 7, operator revision 7
+
+        CONTROL HOST  ZONE  ROLE    RPC
+        c1            x     leader  127.0.0.1:7001
+
+        ZONE  STATE       ENTRY HOSTS  USABLE TARGETS
+        x     drained     1            0 of 2
+        y     in service  1            1 of 1
+
+        GROUP           INDEX   VERSION  STATE       SHARDS HELD  SHARDS USABLE
+        label-designer  labels  7        INCOMPLETE  2 of 2       1 of 2
+
+        ENTRY HOST  ZONE  HTTP             STATE    LEASE MS  REVISION  OWNED TARGETS
+        n-x         x     127.0.0.1:00001  drained  1800      7         2
+        n-y         y     127.0.0.1:00002  serving  1800      7         1
+
+        TARGET  ZONE  STATE        OWNER       LIMIT   IN FLIGHT  QUEUED  CONNECTIONS
+        ld-0-x  x     zone drains  n-x -> n-y  2 of 3  1          0       4
+        ld-0-y  y     in use       n-y         2 of 3  1          0       4
+        ld-1-x  x     zone drains  n-x -> n-y  2 of 3  1          0       4
+
+    "#]]
+    .assert_eq(&out);
 }
 
 /// Guards against the load of other zones in a status of one zone.
--- a/tests/cmd/zone.rs
+++ b/tests/cmd/zone.rs
@@ -1,19 +1,20 @@
 use expect_test::expect;
 
-use crate::{check, fake::Fake, run};
+use crate::{fake::Fake, run};
 
 /// Guards against a zone that is taken out although it has the last replica of a shard, without a warning.
 #[tokio::test]
 async fn out_diff_last_replica() {
     let fake = Fake::start().await;
-    check(&fake, "zone out x --diff", expect![[r#"
+    let out = run(&fake, "zone out x --diff").await;
+    expect![[r#"
         Nothing was applied. Add --base 6 to apply exactly this change:
         targets that get no new work (2): ld-0-x, ld-1-x
         entry hosts out of use (1): n-x
         targets with another owner (2): ld-0-x, ld-1-x
         group label-designer: version 7 covers 2 of 2 shards -> version 7 covers 1 of 2 shards, usable targets 3 -> 1
         SHARD LOST: group label-designer version 7 shard 1 has no usable replica
-    "#]]).await;
+    "#]].assert_eq(&out);
     let out = run(&fake, "zone out y --diff --json").await;
     let effect: serde_json::Value = serde_json::from_str(&out).expect("JSON");
     assert_eq!(effect["targets_closed"], serde_json::json!(["ld-0-y"]));
@@ -25,47 +26,34 @@
 #[tokio::test]
 async fn out_in() {
     let fake = Fake::start().await;
-    check(
-        &fake,
-        "zone out x",
-        expect![[r#"
-            applied at revision 7
-        "#]],
-    )
-    .await;
-    check(&fake, "zone in x --diff", expect![[r#"
+    let out = run(&fake, "zone out x").await;
+    assert_eq!(out, "applied at revision 7\n");
+    let out = run(&fake, "zone in x --diff").await;
+    expect![[r#"
         Nothing was applied. Add --base 7 to apply exactly this change:
         targets that get new work again (2): ld-0-x, ld-1-x
         entry hosts in use again (1): n-x
         targets with another owner (2): ld-0-x, ld-1-x
         group label-designer: version 7 covers 1 of 2 shards -> version 7 covers 2 of 2 shards, usable targets 1 -> 3
-    "#]]).await;
-    check(
-        &fake,
-        "zone in x",
-        expect![[r#"
-            applied at revision 8
-        "#]],
-    )
-    .await;
+    "#]].assert_eq(&out);
+    let out = run(&fake, "zone in x").await;
+    assert_eq!(out, "applied at revision 8\n");
     assert!(fake.plan().tables.config.labels.is_empty());
-    check(
-        &fake,
-        "zone in x --diff",
-        expect![[r#"
-            Nothing was applied. Add --base 8 to apply exactly this change:
-            no effect on targets, groups, shards or callers
-        "#]],
-    )
-    .await;
+    let out = run(&fake, "zone in x --diff").await;
+    expect![[r#"
+        Nothing was applied. Add --base 8 to apply exactly this change:
+        no effect on targets, groups, shards or callers
+    "#]]
+    .assert_eq(&out);
 }
 
 /// Guards against a mistyped zone that is reported as taken out.
 #[tokio::test]
 async fn out_unknown() {
     let fake = Fake::start().await;
-    check(&fake, "zone out xx", expect![[r#"
+    let out = run(&fake, "zone out xx").await;
+    expect![[r#"
         error: no host or target is in zone "xx"; the zones are x, y. To label a zone before its first host starts, use `gentianpass label set zone/xx drain=true`
-    "#]]).await;
+    "#]].assert_eq(&out);
     assert!(fake.plan().ids.is_empty(), "nothing is sent");
 }
