--- a/tests/policy/budget.rs
+++ b/tests/policy/budget.rs
@@ -4,7 +4,7 @@
     error::{Kind, Outcome},
     policy::{
         budget::{Budget, QueryRetries, RETRY_BURST, Rule, rule},
-        hedge::try_hedge,
+        hedge::{Bounds, try_hedge},
     },
 };
 use proptest::prelude::*;
@@ -41,6 +41,46 @@
         }
         prop_assert!(spent * 100 <= earned * percent + full as u64 * 100);
     }
+
+    /// Guards against hedges that are early, one copy too many, beyond the budget, or outside the bounds of the delay.
+    #[test]
+    fn hedge_like_naive(
+        p95_ms in prop::option::of(0..400_u64),
+        steps in prop::collection::vec((0..4_u32, 0..400_u64), 1..30),
+    ) {
+        let ms = Duration::from_millis;
+        let delay_ms = match p95_ms {
+            None => 250,
+            Some(it) if it > 250 => 250,
+            Some(it) if it < 2 => 2,
+            Some(it) => it,
+        };
+        let delay = Bounds::default().delay(p95_ms.map(ms));
+        prop_assert_eq!(delay, ms(delay_ms));
+        let (mut budget, mut left) = (Budget::new(3, 5), 5);
+        for (copies, elapsed_ms) in steps {
+            let due = copies <= 1 && elapsed_ms >= delay_ms && left > 0;
+            prop_assert_eq!(try_hedge(copies, ms(elapsed_ms), delay, &mut budget), due);
+            left -= u32::from(due);
+        }
+    }
+
+    /// Guards against retries beyond either limit, and against refusals that use up the budget.
+    #[test]
+    fn try_retry_like_naive(
+        shards in 0..30_u32,
+        kinds in prop::collection::vec(prop::sample::select(Kind::VARIANTS), 1..60),
+    ) {
+        let (mut budget, mut retries) = (Budget::new(5, 6), QueryRetries::new(shards));
+        let (mut tokens, mut left) = (6, shards.max(4));
+        for kind in kinds {
+            let token = kind.retryable() && kind.outcome() == Outcome::Unknown;
+            let allowed = kind.retryable() && left > 0 && (!token || tokens > 0);
+            prop_assert_eq!(retries.try_retry(kind, &mut budget), allowed);
+            left -= u32::from(allowed);
+            tokens -= u32::from(allowed && token);
+        }
+    }
 }
 
 /// Guards against a rule that differs from the error table, and against free retries of what may have run.
