--- a/src/bin/gentianpass-lab.rs
+++ b/src/bin/gentianpass-lab.rs
@@ -29,7 +29,7 @@
     Demo,
     /// Compares the naive system with the current one under each scenario.
     Measure {
-        /// Short slices, for 50 s in all.
+        /// Short slices of the main scenarios, for 50 s in all.
         #[arg(long)]
         quick: bool,
         /// Only this scenario; may be repeated.
@@ -75,6 +75,7 @@
                 let options =
                     if quick { measure::Options::quick() } else { measure::Options::full() };
                 let size = Size { controls, ..options.size };
+                let scenarios = if scenarios.is_empty() { options.scenarios } else { scenarios };
                 let options = measure::Options { size, scenarios, workload, ..options };
                 until_signal(measure::run(binaries, options)).await
             }
--- a/src/lab/caller.rs
+++ b/src/lab/caller.rs
@@ -153,10 +153,10 @@
     }
 
     async fn fetch(&self, addr: SocketAddr) -> Result<Entries, http::Error> {
-        let path = format!("/v1/entries?caller={}", self.name);
         let headers = [(CALLER_HEADER, self.name.as_str())];
         let body = bytes::Bytes::new();
-        let sent = self.client.send(Method::GET, addr, &path, &headers, body, LIST_TIMEOUT).await;
+        let sent =
+            self.client.send(Method::GET, addr, "/v1/entries", &headers, body, LIST_TIMEOUT).await;
         let (status, body) = sent?;
         http::decode(status, &body)
     }
--- a/src/lab/demo/steps.rs
+++ b/src/lab/demo/steps.rs
@@ -53,6 +53,11 @@
     }
     show(report, "proof_search_new_text", &site.search(Search::Proof(1)).await?);
     show(report, "proof_search", &site.search(Search::Proof(1)).await?);
+    // Opens the connections, so that the rest of the cost shows.
+    site.background(WATCH).await;
+    for number in 1..=3 {
+        show(report, "label_search_connected", &site.search(Search::Label(number)).await?);
+    }
     Ok(())
 }
 
--- a/src/lab/measure/report.rs
+++ b/src/lab/measure/report.rs
@@ -6,10 +6,11 @@
 
 use crate::{
     lab::{
+        caller::Error,
         load::{Expected, Sample},
         target::fault::TargetStats,
     },
-    wire::owner::Class,
+    wire::{caller::Answer, owner::Class},
 };
 
 /// The longest latency that is told apart, in microseconds.
@@ -33,6 +34,7 @@
     needed: u64,
     overload_max: u64,
     crashes: u64,
+    errors: BTreeMap<String, u64>,
 }
 
 impl Default for Tally {
@@ -55,6 +57,7 @@
             needed: 0,
             overload_max: 0,
             crashes: 0,
+            errors: BTreeMap::new(),
         }
     }
 }
@@ -74,6 +77,9 @@
                 self.quick_full += u64::from(it.full());
             }
             self.rejected += u64::from(it.rejected());
+            for error in errors(&it.result) {
+                *self.errors.entry(error).or_default() += 1;
+            }
             match &it.result {
                 Ok(answer) => {
                     self.answered += 1;
@@ -116,11 +122,14 @@
 impl fmt::Display for Tally {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let share = |part: u64, all: u64| if all == 0 { 0.0 } else { part as f64 / all as f64 };
+        let errors: Vec<_> =
+            self.errors.iter().map(|(kind, count)| format!("{kind}:{count}")).collect();
+        let errors = if errors.is_empty() { "-".into() } else { errors.join(",") };
         write!(
             f,
             "queries={} p50_ms={:.1} p99_ms={:.1} p999_ms={:.1} coverage={:.4} full_answers={:.4} \
              extra_load={:.3} overload_max={} rejected={} wrong={} failed={} quick_full={:.4} \
-             worst_second_full={:.3} crashes={}",
+             worst_second_full={:.3} crashes={} errors={}",
             self.queries,
             self.quantile_ms(0.5),
             self.quantile_ms(0.99),
@@ -135,6 +144,15 @@
             share(self.quick_full, self.quick),
             self.worst_second,
             self.crashes,
+            errors,
         )
     }
 }
+
+/// The error kinds of a query, or of the shards that its answer does not cover.
+fn errors(result: &Result<Answer, Error>) -> Vec<String> {
+    match result {
+        Ok(answer) => answer.missing.iter().map(|it| format!("shard_{}", it.reason)).collect(),
+        Err(err) => vec![err.kind().map_or("no_answer".into(), |it| it.to_string())],
+    }
+}
--- a/src/lab/measure/scenario.rs
+++ b/src/lab/measure/scenario.rs
@@ -42,6 +42,11 @@
 const POISON_SENDS: u32 = 5;
 
 impl Scenario {
+    /// Whether the short measurement includes the scenario.
+    pub fn quick(self) -> bool {
+        !matches!(self, Self::NewText | Self::TurnedCold)
+    }
+
     /// How much longer than others the scenario takes, because of its several phases.
     pub fn stretch(self) -> u32 {
         match self {
