Measure the control hosts with 3, 30 and 300 simulated entry hosts

Cause: docs/CAPACITY.md needs the cost of a polling entry host and the time that a change takes to reach all of them. Change: examples/peers starts three control hosts and polls them like entry hosts do, with six targets per peer and two changes a second.

--- /dev/null
+++ b/examples/peers.rs
@@ -0,0 +1,204 @@
+//! Measures what polling entry hosts cost the control hosts, and how long a change takes to reach all of them:
+//! `cargo build --release --bins && cargo run --release --example peers`. The peers poll like entry hosts do, with a
+//! configuration of the size to design for per peer (6 targets each).
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use gentianpass::{
+    control::Client,
+    lab::fleet::{Binaries, Fleet, HostPlan, Plan},
+    state::{Change, Holding, Node, Phase, Revision, Target},
+    wire::control::{Poll, Update},
+};
+use parking_lot::Mutex;
+
+const PEERS: [usize; 3] = [3, 30, 300];
+const TARGETS_PER_PEER: usize = 6;
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+const DURATION: Duration = Duration::from_secs(8);
+const CHANGE_INTERVAL: Duration = Duration::from_millis(500);
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(5);
+const POLL_WAIT_MS: u64 = 500;
+
+#[derive(Default)]
+struct Counts {
+    polls: AtomicU64,
+    errors: AtomicU64,
+    bytes: AtomicU64,
+    /// When each peer had which revision.
+    seen: Mutex<Vec<(Revision, Instant)>>,
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    for peers in PEERS {
+        measure(peers).await?;
+    }
+    Ok(())
+}
+
+async fn measure(peers: usize) -> eyre::Result<()> {
+    let mut plan = Plan::new(Binaries::in_folder(Path::new("target/release")), 1, 1);
+    plan.controls = ZONES
+        .iter()
+        .enumerate()
+        .map(|(i, it)| HostPlan::new(format!("control-{i}"), *it))
+        .collect();
+    let hosts: Vec<_> = (0..plan.controls.len()).map(|it| plan.control(it).1).collect();
+    let fleet = Fleet::start(plan).await?;
+    let client = Client::new(hosts.clone());
+    until_elected(&client).await?;
+    for i in 0..peers {
+        client.submit(None, Change::PutNode(node(i)), COMMIT_TIMEOUT).await?;
+        for target in 0..TARGETS_PER_PEER {
+            let target = target_of(i, target, peers);
+            client.submit(None, Change::PutTarget(target), COMMIT_TIMEOUT).await?;
+        }
+    }
+    let counts = Arc::new(Counts::default());
+    let tasks: Vec<_> = (0..peers)
+        .map(|i| tokio::spawn(poll(i, Client::new(hosts.clone()), counts.clone())))
+        .collect();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    counts.seen.lock().clear();
+    let before = (fleet_cpu(&fleet)?, counts.polls.load(Ordering::Relaxed));
+    let bytes = counts.bytes.load(Ordering::Relaxed);
+    let start = Instant::now();
+    let mut changes = Vec::new();
+    while start.elapsed() < DURATION {
+        let value = if changes.len() % 2 == 0 { "true" } else { "false" };
+        let sent = Instant::now();
+        fleet.operator.set_label("version/none@1", "retired", value).await?;
+        changes.push((fleet.operator.state().await?.revision, sent));
+        tokio::time::sleep(CHANGE_INTERVAL).await;
+    }
+    let seconds = start.elapsed().as_secs_f64();
+    let cpu = fleet_cpu(&fleet)? - before.0;
+    let polls = counts.polls.load(Ordering::Relaxed) - before.1;
+    let bytes = counts.bytes.load(Ordering::Relaxed) - bytes;
+    tasks.iter().for_each(tokio::task::JoinHandle::abort);
+    let (slowest, reached) = propagation(&changes, &counts.seen.lock(), peers);
+    println!(
+        "peers={peers} targets={} polls_per_s={:.0} errors={} control_cpu_percent_of_core={:.2} \
+         cpu_us_per_poll={:.1} payload_bytes_per_peer_s={:.0} resident_kb={:?} changes={} \
+         reached_all={reached} slowest_ms={:.1}",
+        peers * TARGETS_PER_PEER,
+        polls as f64 / seconds,
+        counts.errors.load(Ordering::Relaxed),
+        cpu.as_secs_f64() / seconds * 100.0,
+        cpu.as_secs_f64() * 1e6 / polls.max(1) as f64,
+        bytes as f64 / seconds / peers as f64,
+        fleet.controls.iter().map(|it| resident_kb(it.process.id())).collect::<Vec<_>>(),
+        changes.len(),
+        slowest.as_secs_f64() * 1e3,
+    );
+    Ok(())
+}
+
+async fn until_elected(client: &Client) -> eyre::Result<()> {
+    let end = Instant::now() + Duration::from_secs(20);
+    loop {
+        match client.submit(None, Change::Tick, COMMIT_TIMEOUT).await {
+            Ok(_) => return Ok(()),
+            Err(err) if Instant::now() > end => return Err(err.into()),
+            Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+        }
+    }
+}
+
+async fn poll(i: usize, client: Client, counts: Arc<Counts>) {
+    let mut revision = 0;
+    loop {
+        let node = node(i).name;
+        let poll = Poll { node, incarnation: 1, revision, wait_ms: POLL_WAIT_MS };
+        let sent = bincode::serialized_size(&poll).unwrap_or(0);
+        let Ok(update) = client.poll(poll).await else {
+            counts.errors.fetch_add(1, Ordering::Relaxed);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        counts.polls.fetch_add(1, Ordering::Relaxed);
+        let received = bincode::serialized_size(&update).unwrap_or(0);
+        counts.bytes.fetch_add(sent + received, Ordering::Relaxed);
+        let newest = match update {
+            Update::Config(config) => Some(config.revision),
+            Update::Changes(changes) => changes.last().map(|it| it.revision),
+        };
+        if let Some(newest) = newest {
+            revision = newest;
+            counts.seen.lock().push((revision, Instant::now()));
+        }
+    }
+}
+
+/// The longest time from the moment a change was sent until the last peer had it, and how many changes reached all
+/// peers. The last change may still be on its way.
+fn propagation(
+    changes: &[(Revision, Instant)],
+    seen: &[(Revision, Instant)],
+    peers: usize,
+) -> (Duration, usize) {
+    let mut slowest = Duration::ZERO;
+    let mut reached = 0;
+    for (revision, at) in &changes[..changes.len().saturating_sub(1)] {
+        let arrivals: Vec<_> = seen.iter().filter(|it| it.0 == *revision).collect();
+        if arrivals.len() == peers {
+            reached += 1;
+        }
+        let last = arrivals.iter().map(|it| it.1).max();
+        slowest = slowest.max(last.map_or(Duration::ZERO, |it| it.saturating_duration_since(*at)));
+    }
+    (slowest, reached)
+}
+
+fn fleet_cpu(fleet: &Fleet) -> eyre::Result<Duration> {
+    fleet.controls.iter().map(|it| it.process.cpu_time()).sum()
+}
+
+fn node(i: usize) -> Node {
+    let addr = SocketAddr::from(([10, 0, (i >> 8) as u8, i as u8], 7000));
+    Node {
+        name: format!("entry-{i:04}"),
+        incarnation: 1,
+        http: addr,
+        rpc: addr,
+        zone: ZONES[i % ZONES.len()].into(),
+        leaving: false,
+    }
+}
+
+fn target_of(peer: usize, target: usize, peers: usize) -> Target {
+    let shard = (peer * TARGETS_PER_PEER + target) as u32;
+    Target {
+        name: format!("target-{shard:05}"),
+        incarnation: 1,
+        addr: SocketAddr::from(([10, 1, (shard >> 8) as u8, shard as u8], 7000)),
+        zone: ZONES[peer % ZONES.len()].into(),
+        labels: BTreeMap::from([("service".into(), "search".into())]),
+        slots: 6,
+        warm_up: 1,
+        connections: 50,
+        phase: Phase::Serving,
+        holdings: vec![Holding {
+            index: "search".into(),
+            version: 1,
+            shard,
+            shards: (peers * TARGETS_PER_PEER) as u32,
+        }],
+    }
+}
+
+fn resident_kb(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:"));
+    line.and_then(|it| it.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+}
