Expire entry hosts only after they were silent, and poll another control host in time

An entry host that was committed long after the leader's election and had not polled yet was removed at the next look, because silence counted from the election. It now counts from the first look at the host. Two leaderships within one batch of inputs restart the count too. silent_node_expires now also checks that the removal does not come too early.

A poll to a stopped control host took 1.5 s, so that a lease of 2 s ran out before a second host was asked (0.5 s + 1.5 s). The poll limit is now 0.7 s beyond the wait, the next host is asked without waiting, and a control host gives up a confirmation after 0.5 s.

A broken connection is no longer recorded as a rejected peer.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicUsize, Ordering},
+    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
     time::{Duration, Instant},
 };
 
@@ -25,6 +25,10 @@
 /// How long one attempt of a call may take beyond the time that the call itself waits.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a poll may take beyond the time that it waits. After a poll to a host that does not answer, enough of a
+/// lease of 2 s must be left for one to another host: 0.5 s since the last poll was sent, 0.5 s wait, and this.
+const POLL_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// The pause before another host is tried.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -32,6 +36,7 @@
 pub struct Client {
     hosts: Vec<SocketAddr>,
     current: AtomicUsize,
+    failed: AtomicBool,
     connection: Mutex<Option<(usize, ServiceClient)>>,
 }
 
@@ -41,13 +46,24 @@
         Self {
             hosts,
             current: AtomicUsize::new(random::<u16>() as usize),
+            failed: AtomicBool::new(false),
             connection: Mutex::new(None),
         }
     }
 
-    /// Waits for newer configuration at one control host. An error moves the next call to another host.
-    pub async fn poll(&self, poll: Poll) -> Result<Update> {
-        let timeout = Duration::from_millis(poll.wait_ms) + CALL_TIMEOUT;
+    /// Waits for newer configuration at one control host. An error moves the next call to another host; there the next
+    /// poll does not wait, because the lease may be about to expire.
+    pub async fn poll(&self, mut poll: Poll) -> Result<Update> {
+        if self.failed.load(Ordering::Relaxed) {
+            poll.wait_ms = 0;
+        }
+        let answer = self.poll_once(poll).await;
+        self.failed.store(answer.is_err(), Ordering::Relaxed);
+        answer
+    }
+
+    async fn poll_once(&self, poll: Poll) -> Result<Update> {
+        let timeout = Duration::from_millis(poll.wait_ms) + POLL_TIMEOUT;
         let (host, client) = self.connect().await?;
         let answer = client.poll(deadline(timeout), poll).await;
         self.checked(host, answer)
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -19,7 +19,7 @@
     event::unix_ms,
     raft::{
         self, Core, Event, HardState, Index, Member, MemberChange, MemberId, Membership, Message,
-        Options, Payload, Recovered, Role, Save,
+        Options, Payload, Recovered, Role, Save, Term,
     },
     state::{ChangeId, Reply},
     store,
@@ -74,6 +74,8 @@
     pub(super) reads: HashMap<u64, Answer<Index>>,
     pub(super) liveness: Liveness,
     pub(super) due: super::upkeep::Due,
+    /// The last term that this host led.
+    pub(super) led: Term,
     last_ms: u64,
     next_read: u64,
     last_at_ms: u64,
@@ -106,6 +108,7 @@
             reads: HashMap::new(),
             liveness: Liveness::default(),
             due: super::upkeep::Due::default(),
+            led: 0,
             last_ms: 0,
             next_read: 0,
             last_at_ms: 0,
@@ -257,7 +260,7 @@
     fn note_stall(&mut self) {
         let now_ms = self.now_ms();
         if now_ms > self.last_ms + self.host.cfg.election_ms {
-            self.liveness.restart(now_ms);
+            self.liveness.restart();
         }
         self.last_ms = now_ms;
     }
--- a/src/control/host.rs
+++ b/src/control/host.rs
@@ -34,8 +34,9 @@
 /// How long a request waits for a leader to become known.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// How long a request waits until this host has applied an index.
-const APPLY_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a request waits until this host is confirmed to be current. An entry host must have time left to poll
+/// another control host within its lease.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How long a commit may take before the sender is told to try again.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -130,16 +131,18 @@
 
     /// Waits until this host has applied everything that was committed when the call started.
     pub async fn confirm(&self, heard: Option<Heard>) -> Result<()> {
+        let confirmed = timeout(CONFIRM_TIMEOUT, self.confirm_unlimited(heard)).await;
+        confirmed.unwrap_or_else(|_| Err(Error::new(Kind::NoQuorum, "not confirmed in time")))
+    }
+
+    async fn confirm_unlimited(&self, heard: Option<Heard>) -> Result<()> {
         let (tx, rx) = oneshot::channel();
         let request = confirm::Request { heard, tx };
         self.confirms.try_send(request).map_err(|_| overloaded())?;
         let index = rx.await.map_err(|_| stopping())??;
         let mut applied = self.applied.subscribe();
-        let reached = timeout(APPLY_TIMEOUT, applied.wait_for(|it| *it >= index)).await;
-        match reached {
-            Ok(Ok(_)) => Ok(()),
-            _ => Err(Error::new(Kind::NoQuorum, "this host lags behind the leader")),
-        }
+        applied.wait_for(|it| *it >= index).await.map_err(|_| stopping())?;
+        Ok(())
     }
 
     /// Commits a change through the leader.
--- a/src/control/perform.rs
+++ b/src/control/perform.rs
@@ -154,9 +154,7 @@
             membership: Arc::default(),
         };
         let old = self.host.standing();
-        if old.role != new.role {
-            self.note_role(old.role);
-        }
+        self.note_role(old.role);
         let same_members = *old.membership == *self.core.membership();
         if (old.role, old.leader, old.cluster) != (new.role, new.leader, new.cluster)
             || !same_members
@@ -169,11 +167,12 @@
 
     fn note_role(&mut self, old: Role) {
         let term = self.core.hard().term;
-        if self.core.role() == Role::Leader {
-            let now_ms = self.now_ms();
-            self.liveness.restart(now_ms);
+        if self.core.role() == Role::Leader && self.led != term {
+            self.led = term;
+            self.liveness.restart();
             self.record(event::Kind::Election, format!("became leader of term {term}"));
-        } else if old == Role::Leader {
+        }
+        if self.core.role() != Role::Leader && old == Role::Leader {
             self.waiters.clear();
             self.record(event::Kind::Election, format!("stepped down in term {term}"));
         }
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -4,6 +4,7 @@
 
 use futures::StreamExt;
 use tarpc::{
+    ChannelError,
     context::Context,
     serde_transport::{Transport, tcp},
     server::{BaseChannel, Channel},
@@ -94,14 +95,21 @@
     while let Some(request) = requests.next().await {
         match request {
             Ok(request) => drop(running.spawn(request.execute(server.clone().serve()))),
-            Err(err) => {
-                let cause = std::error::Error::source(&err).map(ToString::to_string);
-                let addr = addr.map_or_else(|_| "?".into(), |it| it.to_string());
-                let cause = format!("peer {addr}: {err}: {}", cause.unwrap_or_default());
-                host.events.record(Event::new(Kind::PeerRejected, cause));
-                return;
-            }
+            Err(err) => return note_failure(&host, addr.ok(), &err),
         }
         while running.try_join_next().is_some() {}
     }
 }
+
+/// Records a peer that sent invalid data. A connection that broke is no event.
+fn note_failure(host: &Host, addr: Option<SocketAddr>, err: &ChannelError<io::Error>) {
+    let ChannelError::Read(err) = err else { return };
+    // The transport wraps the error of the codec.
+    let wrapped = err.get_ref().and_then(|it| it.downcast_ref::<io::Error>());
+    let err = wrapped.unwrap_or(err);
+    if err.kind() == io::ErrorKind::InvalidData {
+        let addr = addr.map_or_else(|| "?".into(), |it| it.to_string());
+        let cause = err.to_string();
+        host.events.record(Event::new(Kind::PeerRejected, format!("peer {addr}: {cause}")));
+    }
+}
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -49,7 +49,7 @@
             self.measure();
         }
         // A new leader is published first, so that silence counts from its election.
-        if self.core.role() != Role::Leader || self.host.standing.borrow().role != Role::Leader {
+        if self.core.role() != Role::Leader || self.led != self.core.hard().term {
             return Ok(());
         }
         if due(&mut self.due.liveness, now_ms, LIVENESS_INTERVAL_MS) && !self.log.is_full() {
--- a/tests/control/failures.rs
+++ b/tests/control/failures.rs
@@ -1,6 +1,6 @@
 //! Hosts that are killed, stopped and cut off.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gentianpass::state::{Change, Node, Reply};
 use hyper::Method;
@@ -116,6 +116,7 @@
         let reply = submit(&client, Change::PutNode(node(name))).await.expect("committed");
         assert!(matches!(reply, Reply::Applied { .. }));
     }
+    let committed = Instant::now();
     let seen = |it: &gentianpass::wire::operator::State, name: &str| {
         it.nodes.iter().any(|it| it.name == name)
     };
@@ -124,6 +125,7 @@
         cluster.state(follower).await.filter(|it| !seen(it, "silent"))
     })
     .await;
+    assert!(committed.elapsed() >= Duration::from_millis(1_500), "{:?}", committed.elapsed());
     cluster.kill(leader);
     let mut polls = 0;
     until("polls go on under the next leader", async || {
--- a/tests/raft/model.rs
+++ b/tests/raft/model.rs
@@ -7,6 +7,20 @@
 /// What the state machine holds: the last index and a hash over all payloads.
 pub type Machine = (Index, u64);
 
+/// A snapshot that takes several messages.
+pub fn encode(machine: Machine) -> Vec<u8> {
+    const PADDING_BYTES: usize = 500;
+    let padding = vec![machine.1 as u8; PADDING_BYTES];
+    bincode::serialize(&(machine, padding)).expect("serializable")
+}
+
+/// What a snapshot holds, if all its parts belong together.
+pub fn decode(data: &[u8]) -> Result<Machine, String> {
+    let (machine, _): (Machine, Vec<u8>) =
+        bincode::deserialize(data).map_err(|it| it.to_string())?;
+    if encode(machine) == data { Ok(machine) } else { Err("parts of different snapshots".into()) }
+}
+
 /// One copy of the committed log, and everything seen so far that must stay true.
 #[derive(Default)]
 pub struct Model {
@@ -86,7 +100,7 @@
 
     /// A snapshot holds exactly the committed entries up to its index.
     pub fn restore(&self, machine: &mut Machine, snapshot: &Snapshot) -> Result<(), String> {
-        let found: Machine = bincode::deserialize(&snapshot.data).map_err(|it| it.to_string())?;
+        let found = decode(&snapshot.data)?;
         let hash = self.hashes.get(snapshot.index as usize - 1);
         if found.0 != snapshot.index || hash != Some(&found.1) {
             return Err(format!("the snapshot at {} differs from the log", snapshot.index));
--- a/tests/raft/node.rs
+++ b/tests/raft/node.rs
@@ -8,7 +8,7 @@
 };
 use rand::{RngExt, rngs::StdRng};
 
-use crate::model::{Machine, Model};
+use crate::model::{Machine, Model, decode, encode};
 
 /// A defect that the checks must find.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,7 +96,7 @@
         self.machine = recovered
             .snapshot
             .as_ref()
-            .map_or((0, 0), |it| bincode::deserialize(&it.data).expect("own snapshot"));
+            .map_or((0, 0), |it| decode(&it.data).expect("own snapshot"));
         let opts = Options {
             id: self.id,
             election_ms: 300,
@@ -221,7 +221,6 @@
         const SNAPSHOT_ENTRIES: Index = 20;
         let core = self.core.as_ref()?;
         let due = core.applied() >= core.snapshot_index() + SNAPSHOT_ENTRIES;
-        let data = bincode::serialize(&self.machine).expect("serializable");
-        due.then_some(Event::Compact { index: self.machine.0, data })
+        due.then(|| Event::Compact { index: self.machine.0, data: encode(self.machine) })
     }
 }
