Count the texts that a stand-in target starts

A test that checks whether a refused query ran needs to know whether this very text reached a stand-in; the totals do not show it. Watch counts the starts of texts with a given prefix, so that loads without it cost no memory.

--- a/src/lab/target/fault.rs
+++ b/src/lab/target/fault.rs
@@ -101,6 +101,11 @@
     },
     /// Sets `since_mark` to 0.
     Mark,
+    /// Counts how often each text with this prefix starts, from now on; none to stop counting.
+    Watch {
+        /// The prefix of the texts.
+        prefix: Option<String>,
+    },
     /// Ends `slow`, `straggle`, `stall`, `crash_on`, `damage` and `lie`, announces itself and is warm.
     Heal,
 }
@@ -189,4 +194,7 @@
     pub crashes: u64,
     /// How often each idempotency key ran.
     pub runs: BTreeMap<String, u32>,
+    /// How often each text that is watched started.
+    #[serde(default)]
+    pub texts: BTreeMap<String, u32>,
 }
--- a/src/lab/target/host.rs
+++ b/src/lab/target/host.rs
@@ -56,6 +56,7 @@
     pub(super) leaving: Option<Instant>,
     pub(super) damage: Option<Damage>,
     pub(super) lie: Option<Lie>,
+    pub(super) watch: Option<String>,
     down: bool,
     back_after_ms: u64,
 }
@@ -74,6 +75,7 @@
     pub(super) last_service_us: u64,
     pub(super) announced: u64,
     pub(super) runs: BTreeMap<String, u32>,
+    pub(super) texts: BTreeMap<String, u32>,
     connections: u32,
     max_connections: u32,
     connections_refused: u64,
@@ -118,6 +120,7 @@
             leaving: None,
             damage: None,
             lie: None,
+            watch: None,
             down: false,
             back_after_ms: 0,
         };
@@ -204,6 +207,7 @@
             Fault::Hold { holdings } => self.hold(holdings),
             Fault::Damage { damage } => self.switches.lock().damage = damage,
             Fault::Lie { lie } => self.switches.lock().lie = lie,
+            Fault::Watch { prefix } => self.switches.lock().watch = prefix,
             Fault::Mark => self.counters.lock().since_mark = 0,
             Fault::Heal => self.heal(),
         }
@@ -257,6 +261,7 @@
         stats.last_service_us = counters.last_service_us;
         stats.announced = counters.announced;
         stats.runs = counters.runs.clone();
+        stats.texts = counters.texts.clone();
         stats.connections = counters.connections;
         stats.max_connections = counters.max_connections;
         stats.connections_refused = counters.connections_refused;
--- a/src/lab/target/serve.rs
+++ b/src/lab/target/serve.rs
@@ -42,6 +42,7 @@
         Ok(running) => running,
         Err(kind) => return host.refuse(kind),
     };
+    host.count_text(&sub.text);
     host.crash_if_poisoned(&sub.text).await;
     let cancelled = host.register(sub.id);
     let service = host.service_secs();
@@ -163,6 +164,13 @@
         (status, Json(Refusal { error: kind })).into_response()
     }
 
+    fn count_text(&self, text: &str) {
+        let watched = self.switches.lock().watch.as_ref().is_some_and(|it| text.starts_with(it));
+        if watched {
+            *self.counters.lock().texts.entry(text.to_owned()).or_default() += 1;
+        }
+    }
+
     async fn crash_if_poisoned(&self, text: &str) {
         let crash_on = self.switches.lock().crash_on.clone();
         if let Some((poison, back_after_ms)) = crash_on
