--- a/src/control/host.rs
+++ b/src/control/host.rs
@@ -145,6 +145,12 @@
         Ok(())
     }
 
+    /// Waits shortly until this host has applied a revision.
+    pub async fn reach(&self, revision: Revision) {
+        let mut reached = self.revision.subscribe();
+        let _ = timeout(CONFIRM_TIMEOUT, reached.wait_for(|it| *it >= revision)).await;
+    }
+
     /// Commits a change through the leader.
     pub async fn submit(&self, submit: Submit) -> Result<Reply> {
         let result = self.submit_unmeasured(submit).await;
--- a/src/control/http.rs
+++ b/src/control/http.rs
@@ -132,8 +132,9 @@
     let submit =
         Submit { id: id.as_u128(), base: Some(request.base), change: into_change(request.edit) };
     let reply = submit_until(&host, submit).await.map_err(unsure)?;
-    // The answer shows this host's tables, which may lag behind the leader's. The change is committed in any case.
-    let _ = host.confirm(None).await;
+    if let Reply::Applied { revision } = reply {
+        host.reach(revision).await;
+    }
     Ok(answer(&host, reply))
 }
 
@@ -157,16 +158,19 @@
 }
 
 fn answer(host: &Host, reply: Reply) -> (StatusCode, Json<ChangeAnswer>) {
-    let (revision, current) = host.read(|it| (it.config.revision, it.config.operator_revision));
+    let (reached, current) = host.read(|it| (it.config.revision, it.config.operator_revision));
     let refused = |operator_revision, err: Error| {
         let Error { kind, message } = err;
-        let answer = ChangeAnswer { revision, operator_revision, error: Some(kind), message };
+        let answer =
+            ChangeAnswer { revision: reached, operator_revision, error: Some(kind), message };
         (status(kind), Json(answer))
     };
     match reply {
         Reply::Applied { revision } => {
-            // A later change must not enter the answer, else the next change would overwrite it unseen.
-            let operator_revision = current.min(revision);
+            // A later change must not enter the answer, else the next change would overwrite it unseen. While this host
+            // lags, the change itself is taken for the last one.
+            let lags = reached < revision;
+            let operator_revision = if lags { revision } else { current.min(revision) };
             let message = String::new();
             (
                 StatusCode::OK,
--- a/tests/control/cluster.rs
+++ b/tests/control/cluster.rs
@@ -152,18 +152,7 @@
 
     /// One request of an operator.
     pub async fn http(&self, i: usize, method: Method, path: &str, body: &str) -> (u16, Value) {
-        let uri = format!("http://{}{path}", self.hosts[i].http);
-        let request = Request::builder()
-            .method(method)
-            .uri(uri)
-            .header("authorization", format!("Bearer {TOKEN}"))
-            .body(Full::new(Bytes::from(body.to_owned())))
-            .expect("request");
-        let client = legacy::Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
-        let Ok(answer) = client.request(request).await else { return (0, Value::Null) };
-        let status = answer.status().as_u16();
-        let body = answer.into_body().collect().await.map(Collected::to_bytes).unwrap_or_default();
-        (status, serde_json::from_slice(&body).unwrap_or(Value::Null))
+        request(self.hosts[i].http, method, path, body).await
     }
 
     /// The state as this host shows it; none if it cannot confirm it.
@@ -209,6 +198,22 @@
     }
 }
 
+/// One request of an operator; status 0 if there is no answer.
+pub async fn request(addr: SocketAddr, method: Method, path: &str, body: &str) -> (u16, Value) {
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{addr}{path}"))
+        .header("authorization", format!("Bearer {TOKEN}"))
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .expect("request");
+    let client = legacy::Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let answer = tokio::time::timeout(SOON, client.request(request)).await;
+    let Ok(Ok(answer)) = answer else { return (0, Value::Null) };
+    let status = answer.status().as_u16();
+    let body = answer.into_body().collect().await.map(Collected::to_bytes).unwrap_or_default();
+    (status, serde_json::from_slice(&body).unwrap_or(Value::Null))
+}
+
 /// An edit that sets the label `value` of a caller.
 pub fn edit(name: &str, value: &str) -> Edit {
     let object = Object::new(ObjectKind::Caller, name);
--- a/tests/control/polls.rs
+++ b/tests/control/polls.rs
@@ -1,10 +1,17 @@
 //! Polls of entry hosts, and peers that send invalid data.
 
-use std::io::{Read, Write};
+use std::{
+    io::{Read, Write},
+    time::Duration,
+};
 
-use gentianpass::{state::Config, wire::control::Update};
+use gentianpass::{
+    error::Kind,
+    state::{Change, Config, Holding, Labels, Phase, Reply, Target},
+    wire::control::Update,
+};
 
-use crate::cluster::{Cluster, poll, until};
+use crate::cluster::{Cluster, ZONES, poll, submit, until};
 
 /// Guards against an entry host whose configuration differs from the control hosts' after it applied their changes.
 #[tokio::test(flavor = "multi_thread")]
@@ -56,3 +63,53 @@
     }
     assert!(cluster.state(0).await.is_some());
 }
+
+/// Guards against an answer that exceeds a frame, which would break the connection of every entry host.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_config_is_refused_but_changes_go_on() {
+    const TARGETS: u64 = 7;
+    let cluster = Cluster::start("");
+    let client = cluster.client(&[0]);
+    for i in 0..TARGETS {
+        let reply = submit(&client, Change::PutTarget(large_target(i))).await;
+        assert_eq!(reply, Ok(Reply::Applied { revision: i + 1 }));
+    }
+    let mut config = Config::default();
+    let mut answers = 0;
+    while config.revision < TARGETS {
+        let update = poll(&client, "entry", config.revision).await.expect("changes");
+        let Update::Changes(changes) = update else { panic!("whole configuration") };
+        assert!(!changes.is_empty());
+        answers += 1;
+        for it in changes {
+            config.apply(&it.change, it.at_ms).expect("applicable");
+        }
+    }
+    assert!(answers > 1, "one frame cannot hold all changes");
+    let whole = poll(&client, "entry", u64::MAX).await.expect_err("too large");
+    assert_eq!(whole.kind, Kind::TooLarge);
+    let mut change = large_target(0);
+    change.holdings.extend(large_target(1).holdings);
+    let reply = client.submit(None, Change::PutTarget(change), Duration::ZERO).await;
+    assert_eq!(reply.expect_err("too large").kind, Kind::TooLarge);
+}
+
+/// A target whose announcement has nearly 200 KB.
+fn large_target(number: u64) -> Target {
+    let holding = |i: u32| {
+        let index = format!("{number}-{i:-<100}");
+        Holding { index, version: 1, shard: 0, shards: 1 }
+    };
+    Target {
+        name: format!("target-{number}"),
+        incarnation: 1,
+        addr: ([127, 0, 0, 1], 9).into(),
+        zone: ZONES[0].into(),
+        labels: Labels::new(),
+        slots: 1,
+        warm_up: 1,
+        connections: 1,
+        phase: Phase::Serving,
+        holdings: (0..1_700).map(holding).collect(),
+    }
+}
