Recover sub-requests from silent connections and check the process behind a connection

After a restart a target got load beyond its warm-up limit (overload_max=3), because new connections reached the new process under the old limit. Ruled out: a larger hedge budget, which raises extra load everywhere; TCP information about unacknowledged bytes, which a silent proxy hides; a plain resend without a cancel request, which may run a sub-request twice at once. Change: the first silence closes all idle connections of the target, at most once in 2 s; the sub-request is cancelled on a new connection and, once the target has confirmed that, sent again once. A new connection asks for the incarnation first and is used only for the process that announced itself. The test of the silent connection now asks for an answer instead of a time-out.

--- a/src/owner/batch.rs
+++ b/src/owner/batch.rs
@@ -286,8 +286,10 @@
     pub deadline: Instant,
     /// The turn of a canary request, given back when the job has ended.
     pub turn: Option<Turn>,
-    /// Whether the job was taken back once because its connection had been closed before the send.
+    /// Whether the job was taken back once because its connection was closed or silent.
     pub resent: bool,
+    /// Whether the target may have run it before it was taken back.
+    pub may_have_run: bool,
 }
 
 impl Job {
@@ -326,8 +328,9 @@
         }
     }
 
-    /// Ends the job without sending it.
+    /// Ends the job without sending it, or without sending it again.
     pub fn reject(self, target: &Arc<Target>, kind: Kind) {
+        let kind = if self.may_have_run { Kind::Timeout } else { kind };
         match &self.work {
             Work::Sub { batch, item } => batch.finish(*item, Some(target), Err(kind)),
             Work::Run(run) => run.finish(Err(kind)),
--- a/src/owner/conn.rs
+++ b/src/owner/conn.rs
@@ -1,6 +1,9 @@
 //! Connections of an owned target: each is one task that takes jobs from the target's queue.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
 
 use hyper::StatusCode;
 use tokio::{sync::Notify, time::Instant};
@@ -12,7 +15,7 @@
         exchange,
         guard::{Open, Slot},
         link::{Answer, Fault, Link, Message},
-        target::{Next, Target},
+        target::{Cancelling, Next, Target},
     },
     wire::target::{Cancel, Health},
 };
@@ -28,12 +31,13 @@
 
 /// Connects, and works until the connection ends or is no longer needed.
 pub(super) async fn run(target: Arc<Target>, mut open: Open) {
-    let Ok(link) = Link::open(target.addr).await else {
+    let Some(link) = connect(&target).await else {
         open.refused();
         return;
     };
-    let mut worker = Worker { target, link, wake: Arc::new(Notify::new()), unknown: None };
-    open.connected();
+    let epoch = open.connected();
+    let wake = Arc::new(Notify::new());
+    let mut worker = Worker { target, link, wake, epoch, unknown: None };
     worker.work().await;
     drop(open);
     if let Some((slot, deadline)) = worker.unknown.take() {
@@ -42,10 +46,23 @@
     }
 }
 
+/// Opens a connection to the process that announced the target. Another process at this address may be cold, so it gets
+/// no work before it has announced itself.
+async fn connect(target: &Target) -> Option<Link> {
+    let mut link = Link::open(target.addr).await.ok()?;
+    let answer = link.ask(Message::get("/v1/health"), target.shared.silence).await.ok()?;
+    let health = health(&answer)?;
+    target.report(health.incarnation, health.cold);
+    let ready = link.ready(target.shared.silence).await;
+    (ready && health.incarnation == target.incarnation).then_some(link)
+}
+
 struct Worker {
     target: Arc<Target>,
     link: Link,
     wake: Arc<Notify>,
+    /// Connections of an earlier epoch than the target's were open when one of them stopped carrying data.
+    epoch: u64,
     /// The slot of a request that the target may still run although the connection broke, and its deadline.
     unknown: Option<(Slot, Instant)>,
 }
@@ -54,14 +71,14 @@
     async fn work(&mut self) {
         let mut woken = false;
         loop {
-            let usable = match self.target.next(&self.wake, woken) {
+            let usable = match self.target.next(&self.wake, self.epoch, woken) {
                 Next::Work(job, slot, id) => {
                     woken = false;
                     self.run(job, slot, id).await
                 }
-                Next::Cancel(id) => {
+                Next::Cancel(cancel) => {
                     woken = false;
-                    self.cancel(id).await
+                    self.cancel(cancel).await
                 }
                 Next::Park => {
                     woken = true;
@@ -98,9 +115,7 @@
 
     async fn ping(&mut self) -> bool {
         let silence = self.target.shared.silence;
-        let end = Instant::now() + silence;
-        let answer = self.link.exchange(Message::get("/v1/health"), end, end, || ()).await;
-        match answer {
+        match self.link.ask(Message::get("/v1/health"), silence).await {
             Ok(answer) => {
                 if let Some(health) = health(&answer) {
                     self.target.report(health.incarnation, health.cold);
@@ -109,19 +124,19 @@
             }
             Err(fault) => {
                 if fault == Fault::Timeout {
-                    self.target.replace();
+                    self.target.distrust(self.epoch);
                 }
                 false
             }
         }
     }
 
-    async fn cancel(&mut self, id: u64) -> bool {
-        let Ok(body) = serde_json::to_vec(&Cancel { id }) else { return true };
+    async fn cancel(&mut self, cancel: Cancelling) -> bool {
+        let Ok(body) = serde_json::to_vec(&Cancel { id: cancel.id }) else { return true };
         self.target.shared.meter.cancels.inc();
-        let end = Instant::now() + CANCEL_TIMEOUT;
-        let message = Message::post("/v1/cancel", body);
-        let answer = self.link.exchange(message, end, end, || ()).await;
+        let answer = self.link.ask(Message::post("/v1/cancel", body), CANCEL_TIMEOUT).await;
+        let confirmed = answer.as_ref().is_ok_and(|(status, _)| status.is_success());
+        cancel.confirm(confirmed);
         answer.is_ok() && self.link.ready(CANCEL_TIMEOUT).await
     }
 
@@ -139,11 +154,17 @@
             target.reject(job, kind);
             return true;
         }
-        let silent_at = Instant::from_std(started + shared.silence);
+        let silent_at = Instant::from_std(started + target.silence(&job));
         let deadline = Instant::from_std(deadline);
-        let sent = self.link.exchange(message, silent_at, deadline, || target.replace());
-        let answer = sent.await;
+        let probing = AtomicBool::new(false);
+        let probe = || target.probe(&job, id, self.epoch, &probing);
+        let answer = self.link.exchange(message, silent_at, deadline, probe).await;
         let elapsed = started.elapsed();
+        if probing.into_inner() && exchange::cancelled(&answer) {
+            drop(slot);
+            target.take_back(Job { may_have_run: true, ..job });
+            return answer.is_ok() && self.link.ready(shared.silence).await;
+        }
         if answer == Err(Fault::Unsent) {
             drop(slot);
             target.take_back(job);
@@ -183,9 +204,7 @@
 
     async fn crashed(&self) -> bool {
         let Ok(mut link) = Link::open(self.target.addr).await else { return true };
-        let end = Instant::now() + CRASH_CHECK_TIMEOUT;
-        let answer = link.exchange(Message::get("/v1/health"), end, end, || ()).await;
-        match answer {
+        match link.ask(Message::get("/v1/health"), CRASH_CHECK_TIMEOUT).await {
             Ok(answer) => {
                 health(&answer).is_some_and(|it| it.incarnation != self.target.incarnation)
             }
@@ -208,6 +227,6 @@
         Fault::Unsent => Kind::NoTarget,
         Fault::Broken => Kind::Disconnected,
         Fault::CutOff => Kind::BadAnswer,
-        Fault::Timeout => Kind::Timeout,
+        Fault::Timeout | Fault::Silent => Kind::Timeout,
     }
 }
--- a/src/owner/exchange.rs
+++ b/src/owner/exchange.rs
@@ -84,6 +84,14 @@
     })
 }
 
+/// Whether the target has given up the request, or never had it.
+pub(super) fn cancelled(answer: &Result<Answer, Fault>) -> bool {
+    match answer {
+        Ok(answer) => refusal(answer) == Kind::Cancelled,
+        Err(fault) => *fault == Fault::Silent,
+    }
+}
+
 /// Adjusts the limit of the target to how the exchange ended.
 pub(super) fn learn(target: &Target, job: &Job, answer: &Result<Answer, Fault>, elapsed: Duration) {
     let now = std::time::Instant::now();
--- a/src/owner/guard.rs
+++ b/src/owner/guard.rs
@@ -43,11 +43,13 @@
 }
 
 impl Open {
-    /// The attempt to connect has succeeded.
-    pub fn connected(&mut self) {
+    /// The attempt to connect has succeeded. Returns the epoch of the connection.
+    pub fn connected(&mut self) -> u64 {
+        let mut state = self.target.state.lock();
         if std::mem::take(&mut self.connecting) {
-            self.target.state.lock().connecting -= 1;
+            state.connecting -= 1;
         }
+        state.epoch
     }
 
     /// The attempt to connect has failed: without another connection nothing that waits can start.
--- a/src/owner/link.rs
+++ b/src/owner/link.rs
@@ -25,6 +25,9 @@
 /// How long one attempt to connect may take. Connecting costs up to 6 ms, and regions are 16 ms apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// After a confirmed cancel request, an answer on a connection that works arrives within this time.
+const LATE_ANSWER: Duration = Duration::from_millis(20);
+
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
 const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
@@ -49,6 +52,8 @@
     CutOff,
     /// No complete answer arrived in time.
     Timeout,
+    /// The connection carries no data, and the target does not run the request.
+    Silent,
 }
 
 /// The status and the body of an answer.
@@ -86,14 +91,14 @@
         Ok(Self { sender, connection: Some(Box::pin(connection)), host })
     }
 
-    /// Sends a request and waits for the whole answer until `deadline`. `silent` is called once if the answer is not
-    /// complete at `silent_at`.
-    pub async fn exchange(
+    /// Sends a request and waits for the whole answer until `deadline`. If the answer is not complete at `silent_at`,
+    /// `probe` finds out whether the target runs the request at all; if it says that it does not, the exchange ends.
+    pub async fn exchange<P: Future<Output = bool>>(
         &mut self,
         message: Message,
         silent_at: Instant,
         deadline: Instant,
-        silent: impl FnOnce(),
+        probe: impl FnOnce() -> P,
     ) -> Result<Answer, Fault> {
         let request = self.request(message);
         let Self { sender, connection, .. } = self;
@@ -109,11 +114,28 @@
             if let Ok(answer) = tokio::time::timeout_at(silent_at, driven.as_mut()).await {
                 return answer;
             }
-            silent();
+            let ended = async {
+                if !tokio::time::timeout_at(deadline, probe()).await.unwrap_or(false) {
+                    std::future::pending::<()>().await;
+                }
+                tokio::time::sleep(LATE_ANSWER).await;
+            };
+            tokio::select! {
+                biased;
+                answer = driven.as_mut() => return answer,
+                () = ended => return Err(Fault::Silent),
+                () = tokio::time::sleep_until(deadline) => return Err(Fault::Timeout),
+            }
         }
         tokio::time::timeout_at(deadline, driven).await.unwrap_or(Err(Fault::Timeout))
     }
 
+    /// Sends a request and waits for the whole answer for `timeout`.
+    pub async fn ask(&mut self, message: Message, timeout: Duration) -> Result<Answer, Fault> {
+        let end = Instant::now() + timeout;
+        self.exchange(message, end, end, || std::future::ready(false)).await
+    }
+
     /// Waits until the connection can take the next request; false if it was closed.
     pub async fn ready(&mut self, timeout: Duration) -> bool {
         if self.sender.is_ready() {
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -164,7 +164,14 @@
         }
         let (run, mut rx) = Run::new(dispatch);
         let work = Work::Run(run.clone());
-        target.enqueue(Job { work, class: Class::Quick, deadline, turn: None, resent: false });
+        target.enqueue(Job {
+            work,
+            class: Class::Quick,
+            deadline,
+            turn: None,
+            resent: false,
+            may_have_run: false,
+        });
         let timeout = tokio::time::timeout_at(deadline.into(), &mut rx);
         let result = match timeout.await {
             Ok(result) => result,
@@ -278,5 +285,6 @@
         deadline: batch.deadline,
         turn,
         resent: false,
+        may_have_run: false,
     }
 }
--- a/src/owner/state.rs
+++ b/src/owner/state.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     error::Kind,
-    owner::{batch::Job, shared::Shared},
+    owner::{batch::Job, shared::Shared, target::Cancelling},
     policy::limit::{Limit, Step},
     state::{Revision, TargetView},
     wire::{owner::Class, target::Announcement},
@@ -32,8 +32,12 @@
     pub limit: Limit,
     pub in_flight: u32,
     pub queues: [VecDeque<Job>; 2],
-    pub cancels: VecDeque<u64>,
+    pub cancels: VecDeque<Cancelling>,
     pub idle: Vec<Arc<Notify>>,
+    /// Grows when a connection stops carrying data; connections of an earlier epoch are closed.
+    pub epoch: u64,
+    /// When the epoch may grow again.
+    pub epoch_until: Instant,
     pub woken: u32,
     pub connecting: u32,
     pub open: u32,
@@ -53,7 +57,6 @@
     /// The target was gained after the first of these revisions, not later than the second.
     pub gained: (Revision, Revision),
     pub unlogged: Option<Step>,
-    pub silence_logged: Option<Instant>,
 }
 
 impl State {
@@ -68,6 +71,8 @@
             queues: Default::default(),
             cancels: VecDeque::new(),
             idle: Vec::new(),
+            epoch: 0,
+            epoch_until: now,
             woken: 0,
             connecting: 0,
             open: 0,
@@ -81,7 +86,6 @@
             closed: None,
             gained: (0, 0),
             unlogged: None,
-            silence_logged: None,
         }
     }
 
--- a/src/owner/target.rs
+++ b/src/owner/target.rs
@@ -3,12 +3,15 @@
 use std::{
     collections::VecDeque,
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use parking_lot::{Mutex, MutexGuard};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot};
 
 use crate::{
     error::Kind,
@@ -20,13 +23,14 @@
         shared::Shared,
         state::State,
     },
-    policy::limit::Step,
+    policy::limit::{self, Step},
     state::TargetView,
     wire::{operator::OwnedTarget, owner::Hint},
 };
 
-/// Events about silent connections are recorded at most once in this time for each target.
-const SILENCE_EVENT_INTERVAL: Duration = Duration::from_secs(1);
+/// All connections of a target are replaced at most once in this time, so that a slow target is not taken for silent
+/// connections again and again.
+const EPOCH_INTERVAL: Duration = Duration::from_secs(2);
 
 /// An owned target.
 pub(super) struct Target {
@@ -39,10 +43,29 @@
     pub(super) state: Mutex<State>,
 }
 
+/// A request that is to be cancelled.
+pub(super) struct Cancelling {
+    pub id: u64,
+    confirmed: Option<oneshot::Sender<bool>>,
+}
+
+impl Cancelling {
+    fn new(id: u64) -> Self {
+        Self { id, confirmed: None }
+    }
+
+    /// Tells who waits for it whether the target has confirmed the cancel request.
+    pub fn confirm(self, confirmed: bool) {
+        if let Some(tx) = self.confirmed {
+            let _ = tx.send(confirmed);
+        }
+    }
+}
+
 /// What a connection does next.
 pub(super) enum Next {
     Work(Job, Slot, u64),
-    Cancel(u64),
+    Cancel(Cancelling),
     Park,
     Close,
 }
@@ -77,7 +100,7 @@
     pub fn cancel(self: &Arc<Self>, id: u64) {
         let mut state = self.state.lock();
         if state.in_flight > 0 {
-            state.cancels.push_back(id);
+            state.cancels.push_back(Cancelling::new(id));
             self.pump(&mut state);
         }
     }
@@ -91,14 +114,18 @@
 
     /// The next thing to do on a connection. A job that is returned has passed the check before the send and holds a
     /// slot.
-    pub fn next(self: &Arc<Self>, worker: &Arc<Notify>, woken: bool) -> Next {
+    pub fn next(self: &Arc<Self>, worker: &Arc<Notify>, epoch: u64, woken: bool) -> Next {
         let now = Instant::now();
         let mut rejected = Vec::new();
         let mut state = self.state.lock();
         if woken {
             state.woken -= 1;
         }
-        let next = self.choose(&mut state, now, worker, &mut rejected);
+        let next = if epoch < state.epoch {
+            Next::Close
+        } else {
+            self.choose(&mut state, now, worker, &mut rejected)
+        };
         drop(state);
         for (job, kind) in rejected {
             self.reject(job, kind);
@@ -113,8 +140,8 @@
         worker: &Arc<Notify>,
         rejected: &mut Vec<(Job, Kind)>,
     ) -> Next {
-        if let Some(id) = state.cancels.pop_front() {
-            return Next::Cancel(id);
+        if let Some(cancel) = state.cancels.pop_front() {
+            return Next::Cancel(cancel);
         }
         while state.in_flight < state.limit.value() {
             let Some(job) = state.queues.iter_mut().find_map(VecDeque::pop_front) else { break };
@@ -169,23 +196,65 @@
         self.pump(&mut state);
     }
 
-    /// Opens a replacement for a connection that carries no bytes.
-    pub fn replace(self: &Arc<Self>) {
+    /// A connection of this epoch carries no bytes although an answer is due. Whatever lost track of it has probably
+    /// lost the others too, so all connections of the epoch are closed when they are idle, and new ones replace them.
+    /// False if that happened a short time ago: then the target is slow, because new connections are silent as well.
+    pub fn distrust(self: &Arc<Self>, epoch: u64) -> bool {
         let now = Instant::now();
         self.shared.meter.silent.inc();
         let mut state = self.state.lock();
-        if state.idle.is_empty() && state.connecting == 0 && state.closed.is_none() {
+        if epoch < state.epoch {
+            return true;
+        }
+        if now < state.epoch_until {
+            return false;
+        }
+        state.epoch += 1;
+        state.epoch_until = now + EPOCH_INTERVAL;
+        while let Some(worker) = state.idle.pop() {
+            state.woken += 1;
+            worker.notify_one();
+        }
+        if state.connecting == 0 && state.closed.is_none() {
             self.open(&mut state);
         }
-        let logged = state
-            .silence_logged
-            .is_some_and(|it| now.saturating_duration_since(it) < SILENCE_EVENT_INTERVAL);
-        if !logged {
-            state.silence_logged = Some(now);
-            drop(state);
-            let cause = format!("no bytes for {} ms", self.shared.silence.as_millis());
-            self.record(event::Kind::ConnectionSilent, cause);
+        drop(state);
+        let cause = format!("no bytes for {} ms", self.shared.silence.as_millis());
+        self.record(event::Kind::ConnectionSilent, cause);
+        true
+    }
+
+    /// How long an exchange may carry no bytes: the setting, or a multiple of the usual latency if that is longer.
+    pub fn silence(&self, job: &Job) -> Duration {
+        let usual = self.state.lock().limit.usual(job.class).unwrap_or_default();
+        self.shared.silence.max(usual.mul_f64(limit::COLD_FACTOR))
+    }
+
+    /// Asks the target on another connection to cancel a sub-request that has no answer. True if the target has
+    /// confirmed that it does not run it any more.
+    ///
+    /// A sub-request that was sent again is not cancelled, and neither is one without a history of its class: it may
+    /// only be slow.
+    pub async fn probe(
+        self: &Arc<Self>,
+        job: &Job,
+        id: u64,
+        epoch: u64,
+        probing: &AtomicBool,
+    ) -> bool {
+        let known = self.state.lock().limit.usual(job.class).is_some();
+        let distrusted = self.distrust(epoch);
+        if !distrusted || !known || job.resent || !matches!(job.work, Work::Sub { .. }) {
+            return false;
+        }
+        probing.store(true, Ordering::Relaxed);
+        let (tx, rx) = oneshot::channel();
+        {
+            let mut state = self.state.lock();
+            state.cancels.push_back(Cancelling { id, confirmed: Some(tx) });
+            self.pump(&mut state);
         }
+        rx.await.unwrap_or(false)
     }
 
     /// Wakes or opens as many connections as there is work that may start.
--- a/tests/owner/connection.rs
+++ b/tests/owner/connection.rs
@@ -32,16 +32,34 @@
                 host.has_event(event::Kind::ConnectionSilent, "t", "no bytes")
             })
             .await;
-            assert!(started.elapsed() < Duration::from_millis(800), "a slow machine");
-            assert!(host.status("t").in_flight >= 1, "the slot is free before the deadline");
         };
         let (progress, ()) = futures::join!(hanging, others);
-        assert_eq!(kinds(&progress.expect("progress")), [Some(Kind::Timeout)]);
-        until("the connection is closed at the deadline", || fake.running() == 0).await;
+        assert!(started.elapsed() < Duration::from_millis(800), "answered before the deadline");
+        assert_eq!(kinds(&progress.expect("progress")), [None], "sent again on a new connection");
+        until("the target has cancelled it", || fake.running() == 0).await;
         until("the slot is free", || host.status("t").in_flight == 0).await;
     });
 }
 
+/// Guards against a slow sub-request that is cancelled again and again instead of being awaited.
+#[test]
+fn connection_silent_twice() {
+    run(async {
+        let fake = Fake::start("t");
+        let (_net, host) = owning(&fake, 2, 2).await;
+        for id in 2..40u64 {
+            let progress = host.owner.exec(batch(id, &["t"])).await.expect("progress");
+            assert_eq!(kinds(&progress), [None]);
+        }
+        fake.mode(Mode::Hang);
+        let before = fake.handled();
+        let short = crate::Batch { deadline_ms: 800, ..batch(1, &["t"]) };
+        let progress = host.owner.exec(short).await.expect("progress");
+        assert_eq!(kinds(&progress), [Some(Kind::Timeout)]);
+        assert_eq!(fake.handled() - before, 2, "sent again once");
+    });
+}
+
 /// Guards against idle connections whose end is noticed by a request, and against a restarted target that stays
 /// unreachable.
 #[test]
