--- a/tests/owner/cancel.rs
+++ b/tests/owner/cancel.rs
@@ -80,10 +80,11 @@
         let short = crate::Batch { deadline_ms: 100, partial_after_ms: 10, ..batch(1, &["t"]) };
         let progress = host.owner.exec(short).await.expect("progress");
         assert_eq!(progress.pending, [0]);
+        fake.mode(Mode::Answer);
+        // The number can be used again once the batch is gone.
         until("the batch is dropped", || {
-            let collect = host.owner.collect(1, Duration::ZERO);
-            let found = futures::FutureExt::now_or_never(collect);
-            matches!(found, Some(Err(err)) if err.kind == Kind::NotFound)
+            let again = host.owner.exec(batch(1, &["t"]));
+            !matches!(futures::FutureExt::now_or_never(again), Some(Err(_)))
         })
         .await;
     });
--- a/tests/owner/connection.rs
+++ b/tests/owner/connection.rs
@@ -9,7 +9,7 @@
 use crate::{
     batch,
     fake::{Fake, Mode},
-    host::owning,
+    host::{MAX_SUB_REQUEST_MS, owning},
     kinds, run, until,
 };
 
@@ -85,3 +85,18 @@
         assert!(fake.most() <= 7, "one of eight connections is left for cancel requests");
     });
 }
+
+/// Guards against more requests than slots when a connection breaks and the target goes on with its request.
+#[test]
+fn connection_broken() {
+    run(async {
+        let fake = Fake::start("t");
+        let (_net, host) = owning(&fake, 2, 2).await;
+        fake.once(Mode::Break);
+        let started = Instant::now();
+        let progress = host.owner.exec(batch(1, &["t"])).await.expect("progress");
+        assert_eq!(kinds(&progress), [Some(Kind::Disconnected)]);
+        until("the slot is free", || host.status("t").in_flight == 0).await;
+        assert!(started.elapsed() >= Duration::from_millis(MAX_SUB_REQUEST_MS));
+    });
+}
