Start connections of a target after its lock is released

Cause: a runtime that shuts down drops a new task at once. The guard in it took the lock of the target that the same thread held, so that the process hung at its end when work was queued. Ruled out: the test itself; the thread dump showed the worker in the lock while the runtime was dropped. Change: connections are counted under the lock and started after it; a connection that is dropped before it stands delays the next one as a refused one does.

--- a/src/owner/conn.rs
+++ b/src/owner/conn.rs
@@ -26,8 +26,17 @@
 /// How long the health request after a broken connection may take.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Starts the task of a connection.
+pub(super) fn spawn(open: Open) {
+    // Without a runtime the process ends, and a guard that is dropped then asks for a connection in vain.
+    if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+        runtime.spawn(run(open));
+    }
+}
+
 /// Connects, and works until the connection ends or is no longer needed.
-pub(super) async fn run(target: Arc<Target>, mut open: Open) {
+async fn run(mut open: Open) {
+    let target = open.target.clone();
     let Ok(link) = Link::open(target.addr).await else {
         open.refused();
         return;
--- a/src/owner/guard.rs
+++ b/src/owner/guard.rs
@@ -31,7 +31,7 @@
             self.target.drained.notify_waiters();
         }
         if self.pump {
-            self.target.pump(&mut state);
+            self.target.pump(state);
         }
     }
 }
@@ -53,7 +53,6 @@
     /// The attempt to connect has failed: without another connection nothing that waits can start.
     pub fn refused(&mut self) {
         let mut state = self.target.state.lock();
-        state.retry_at = Instant::now() + CONNECT_PAUSE;
         if state.open > state.connecting {
             return;
         }
@@ -72,7 +71,8 @@
         state.open -= 1;
         if self.connecting {
             state.connecting -= 1;
+            state.retry_at = Instant::now() + CONNECT_PAUSE;
         }
-        self.target.pump(&mut state);
+        self.target.pump(state);
     }
 }
--- a/src/owner/target.rs
+++ b/src/owner/target.rs
@@ -70,7 +70,7 @@
             return self.reject(job, kind);
         }
         state.queues[job.class as usize].push_back(job);
-        self.pump(&mut state);
+        self.pump(state);
     }
 
     /// Asks the target to drop a request that runs there.
@@ -78,7 +78,7 @@
         let mut state = self.state.lock();
         if state.in_flight > 0 {
             state.cancels.push_back(id);
-            self.pump(&mut state);
+            self.pump(state);
         }
     }
 
@@ -155,7 +155,7 @@
     pub fn pass_on(self: &Arc<Self>) {
         let mut state = self.state.lock();
         state.woken -= 1;
-        self.pump(&mut state);
+        self.pump(state);
     }
 
     /// Takes a job back whose connection was closed before the send.
@@ -166,7 +166,7 @@
         job.restart();
         let mut state = self.state.lock();
         state.queues[job.class as usize].push_front(job);
-        self.pump(&mut state);
+        self.pump(state);
     }
 
     /// Opens a replacement for a connection that carries no bytes.
@@ -174,46 +174,53 @@
         let now = Instant::now();
         self.shared.meter.silent.inc();
         let mut state = self.state.lock();
-        if state.idle.is_empty() && state.connecting == 0 && state.closed.is_none() {
-            self.open(&mut state);
-        }
+        let wanted = state.idle.is_empty() && state.connecting == 0 && state.closed.is_none();
+        let opened = if wanted { self.open(&mut state) } else { None };
         let logged = state
             .silence_logged
             .is_some_and(|it| now.saturating_duration_since(it) < SILENCE_EVENT_INTERVAL);
         if !logged {
             state.silence_logged = Some(now);
-            drop(state);
+        }
+        drop(state);
+        opened.into_iter().for_each(conn::spawn);
+        if !logged {
             let cause = format!("no bytes for {} ms", self.shared.silence.as_millis());
             self.record(event::Kind::ConnectionSilent, cause);
         }
     }
 
     /// Wakes or opens as many connections as there is work that may start.
-    pub fn pump(self: &Arc<Self>, state: &mut MutexGuard<'_, State>) {
+    pub fn pump(self: &Arc<Self>, mut state: MutexGuard<'_, State>) {
         let queued = state.queued();
         let free = state.limit.value().saturating_sub(state.in_flight);
         let needed = queued.min(free) + state.cancels.len() as u32;
+        let mut opened = Vec::new();
         while needed > state.woken + state.connecting {
             if let Some(worker) = state.idle.pop() {
                 state.woken += 1;
                 worker.notify_one();
-            } else if !self.open(state) {
-                return;
+            } else if let Some(open) = self.open(&mut state) {
+                opened.push(open);
+            } else {
+                break;
             }
         }
+        drop(state);
+        opened.into_iter().for_each(conn::spawn);
     }
 
-    fn open(self: &Arc<Self>, state: &mut State) -> bool {
+    /// Counts a new connection. The caller starts it once the lock is released: a runtime that shuts down drops it at
+    /// once, and its guard takes the lock.
+    fn open(self: &Arc<Self>, state: &mut State) -> Option<Open> {
         // One connection is left for cancel requests.
         let reserved = u32::from(state.cancels.is_empty() && state.connections > 1);
         if state.open + reserved >= state.connections || Instant::now() < state.retry_at {
-            return false;
+            return None;
         }
         state.open += 1;
         state.connecting += 1;
-        let open = Open { target: self.clone(), connecting: true };
-        tokio::spawn(conn::run(self.clone(), open));
-        true
+        Some(Open { target: self.clone(), connecting: true })
     }
 
     /// Ends jobs that nobody waits for or that are late, and starts what may start.
@@ -241,8 +248,7 @@
                 worker.notify_one();
             }
         }
-        self.pump(&mut state);
-        drop(state);
+        self.pump(state);
         for (job, kind) in late {
             self.reject(job, kind);
         }
--- a/tests/owner/connection.rs
+++ b/tests/owner/connection.rs
@@ -100,3 +100,24 @@
         assert!(started.elapsed() >= Duration::from_millis(MAX_SUB_REQUEST_MS));
     });
 }
+
+/// Guards against a process that hangs at its end: slots and connections that are dropped with the runtime ask for
+/// other connections while work waits.
+#[test]
+fn connection_runtime_ends() {
+    let fake = Fake::start("t");
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    runtime.block_on(async {
+        let (_net, host) = owning(&fake, 1, 1).await;
+        fake.mode(Mode::Hang);
+        let owner = host.owner.clone();
+        tokio::spawn(async move { owner.exec(batch(1, &["t", "t", "t"])).await });
+        until("one runs", || fake.running() == 1).await;
+    });
+    let (tx, rx) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        drop(runtime);
+        tx.send(()).expect("test waits");
+    });
+    rx.recv_timeout(crate::PATIENCE).expect("the runtime ends");
+}
