--- a/tests/owner/connection.rs
+++ b/tests/owner/connection.rs
@@ -9,7 +9,7 @@
 use crate::{
     batch,
     fake::{Fake, Mode},
-    host::owning,
+    host::{MAX_SUB_REQUEST_MS, owning},
     kinds, run, until,
 };
 
@@ -103,3 +103,39 @@
         assert!(fake.most() <= 7, "one of eight connections is left for cancel requests");
     });
 }
+
+/// Guards against more requests than slots when a connection breaks and the target goes on with its request.
+#[test]
+fn connection_broken() {
+    run(async {
+        let fake = Fake::start("t");
+        let (_net, host) = owning(&fake, 2, 2).await;
+        fake.once(Mode::Break);
+        let started = Instant::now();
+        let progress = host.owner.exec(batch(1, &["t"])).await.expect("progress");
+        assert_eq!(kinds(&progress), [Some(Kind::Disconnected)]);
+        until("the slot is free", || host.status("t").in_flight == 0).await;
+        assert!(started.elapsed() >= Duration::from_millis(MAX_SUB_REQUEST_MS));
+    });
+}
+
+/// Guards against a process that hangs at its end: slots and connections that are dropped with the runtime ask for
+/// other connections while work waits.
+#[test]
+fn connection_runtime_ends() {
+    let fake = Fake::start("t");
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    runtime.block_on(async {
+        let (_net, host) = owning(&fake, 1, 1).await;
+        fake.mode(Mode::Hang);
+        let owner = host.owner.clone();
+        tokio::spawn(async move { owner.exec(batch(1, &["t", "t", "t"])).await });
+        until("one runs", || fake.running() == 1).await;
+    });
+    let (tx, rx) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        drop(runtime);
+        tx.send(()).expect("test waits");
+    });
+    rx.recv_timeout(crate::PATIENCE).expect("the runtime ends");
+}
