--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,15 +1,19 @@
 //! Query tier over many shards: routing, limits, snapshots of the index and true coverage.
 
+pub mod cmd;
 pub mod control;
 pub mod entry;
 pub mod error;
 pub mod event;
+pub mod lab;
 pub mod lease;
 pub mod metric;
 pub mod owner;
 pub mod peer;
 pub mod policy;
+pub mod raft;
 pub mod settings;
 pub mod state;
+pub mod store;
 pub mod trace;
 pub mod wire;
--- a/tests/policy/pick.rs
+++ b/tests/policy/pick.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 use gentianpass::{
-    policy::pick::{FAILURE_PENALTY, HINT_AGE, Loads, NEUTRAL_LOAD},
+    policy::pick::{FAILURE_PENALTY, HINT_AGE, Loads, NEUTRAL_LOAD, TIE_LOAD},
     state::{Change, Config, Object, ObjectKind, Phase, Target, TargetKey, View},
     wire::owner::Hint,
 };
@@ -12,13 +12,14 @@
 
 const TARGETS: u32 = 6;
 
-/// Targets `t0` to `t5` in zones `z0`, `z1`, `z2` in turn; the ones in `drained` take no new work.
-fn view(drained: &[u32]) -> View {
+/// A view of these targets, by name and process, in the zones `z0`, `z1`, `z2` in turn. The ones in `drained` take no
+/// new work.
+fn view(targets: &[(&str, u64)], drained: &[u32]) -> View {
     let mut config = Config::default();
-    for i in 0..TARGETS {
+    for (i, (name, incarnation)) in targets.iter().enumerate() {
         let target = Target {
-            name: format!("t{i}"),
-            incarnation: 1,
+            name: (*name).into(),
+            incarnation: *incarnation,
             addr: ([127, 0, 0, 1], 9_000).into(),
             zone: format!("z{}", i % 3),
             labels: Default::default(),
@@ -38,6 +39,11 @@
     View::build(&config)
 }
 
+/// Six targets, `t0` to `t5`.
+fn six(drained: &[u32]) -> View {
+    view(&[("t0", 1), ("t1", 1), ("t2", 1), ("t3", 1), ("t4", 1), ("t5", 1)], drained)
+}
+
 fn hint(limit: u32, in_flight: u32, queued: u32) -> Hint {
     Hint { target: String::new(), limit, in_flight, queued }
 }
@@ -78,12 +84,16 @@
         if candidates.len() < 2 {
             return candidates.first().copied();
         }
-        let i = rng.random_range(0..candidates.len());
-        let j = (i + rng.random_range(1..candidates.len())) % candidates.len();
-        let (a, b) = (candidates[i], candidates[j]);
-        let (load_a, load_b) = (self.load(a, now), self.load(b, now));
-        let a_wins = load_a < load_b || (load_a == load_b && (a % 3 == 0 || b % 3 != 0));
-        Some(if a_wins { a } else { b })
+        let near: Vec<u32> = candidates.iter().copied().filter(|it| it.is_multiple_of(3)).collect();
+        let firsts = if near.is_empty() { &candidates } else { &near };
+        let first = firsts[rng.random_range(0..firsts.len())];
+        let others: Vec<u32> = candidates.iter().copied().filter(|it| *it != first).collect();
+        let second = others[rng.random_range(0..others.len())];
+        let [load, other] = [first, second].map(|it| self.load(it, now));
+        let only_first_near = first.is_multiple_of(3) && !second.is_multiple_of(3);
+        let tie = load <= TIE_LOAD && other <= TIE_LOAD;
+        let takes_second = other < load && !(tie && only_first_near);
+        Some(if takes_second { second } else { first })
     }
 }
 
@@ -119,7 +129,7 @@
         drained in prop::collection::vec(0..TARGETS, 0..3),
     ) {
         let start = Instant::now();
-        let mut loads = Loads::new(&view(&drained), "z0");
+        let mut loads = Loads::new(&six(&drained), "z0");
         let mut naive = Naive { drained, ..Naive::default() };
         let mut now = 0;
         for step in steps {
@@ -154,7 +164,7 @@
 #[test]
 fn pick_all_failed() {
     let now = Instant::now();
-    let mut loads = Loads::new(&view(&[]), "z0");
+    let mut loads = Loads::new(&six(&[]), "z0");
     loads.failed(TargetKey(1), now);
     let mut rng = StdRng::seed_from_u64(1);
     assert_eq!(loads.pick(&keys(&[1]), &[], now, &mut rng), Some(TargetKey(1)));
@@ -162,11 +172,29 @@
     assert!(loads.usable(TargetKey(1), now + FAILURE_PENALTY));
 }
 
+/// Guards against the way to another region while the replica in the root's own zone has room, and against a queue in
+/// the own zone while another one is free.
+#[test]
+fn pick_own_zone() {
+    let now = Instant::now();
+    let mut loads = Loads::new(&six(&[]), "z1");
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut near = |loads: &Loads| {
+        (0..90)
+            .filter(|_| loads.pick(&keys(&[0, 1, 2]), &[], now, &mut rng) == Some(TargetKey(1)))
+            .count()
+    };
+    loads.hint(TargetKey(1), &hint(2, 2, 0), now);
+    assert_eq!(near(&loads), 90);
+    loads.hint(TargetKey(1), &hint(2, 2, 4), now);
+    assert_eq!(near(&loads), 0);
+}
+
 /// Guards against most of the load on one of three equally loaded replicas of other zones.
 #[test]
 fn pick_spread() {
     let now = Instant::now();
-    let loads = Loads::new(&view(&[]), "elsewhere");
+    let loads = Loads::new(&six(&[]), "elsewhere");
     let mut rng = StdRng::seed_from_u64(1);
     let mut counts = [0; 3];
     for _ in 0..3_000 {
@@ -180,27 +208,11 @@
 #[test]
 fn rebuild_shifted_keys() {
     let now = Instant::now();
-    let old = view(&[]);
+    let old = six(&[]);
     let mut loads = Loads::new(&old, "z0");
     loads.hint(TargetKey(3), &hint(2, 2, 4), now);
     loads.failed(TargetKey(4), now);
-    let mut config = Config::default();
-    for (name, incarnation) in [("t3", 1), ("t4", 2)] {
-        let target = Target {
-            name: name.into(),
-            incarnation,
-            addr: ([127, 0, 0, 1], 9_000).into(),
-            zone: "z0".into(),
-            labels: Default::default(),
-            slots: 3,
-            warm_up: 1,
-            connections: 30,
-            phase: Phase::Serving,
-            holdings: Vec::new(),
-        };
-        config.apply(&Change::PutTarget(target), 0).expect("applied");
-    }
-    let new = View::build(&config);
+    let new = view(&[("t3", 1), ("t4", 2)], &[]);
     let loads = loads.rebuild(&old, &new);
     let key = new.target_key("t3").expect("key");
     let service = Duration::from_millis(10);
@@ -216,7 +228,7 @@
 #[test]
 fn wait_shortest_queue() {
     let now = Instant::now();
-    let mut loads = Loads::new(&view(&[]), "z0");
+    let mut loads = Loads::new(&six(&[]), "z0");
     loads.hint(TargetKey(0), &hint(2, 2, 6), now);
     loads.hint(TargetKey(1), &hint(2, 2, 2), now);
     let service = Duration::from_millis(10);
