Close the naive system's idle connections after each of its turns

Idle connections of the naive system counted against the connection limits of the targets while the current system was measured.

--- a/src/lab/measure/mod.rs
+++ b/src/lab/measure/mod.rs
@@ -116,6 +116,7 @@
         Measured::Naive => play(bench, bench.naive.clone(), scenario, slice, options).await?,
         Measured::Current => play(bench, bench.current.clone(), scenario, slice, options).await?,
     };
+    bench.naive.disconnect();
     let after = bench.fleet.stats().await?;
     tally.add_samples(&samples, &bench.expected, bench.shape.shards);
     tally.add_stats(&before, &after);
--- a/src/lab/naive_system.rs
+++ b/src/lab/naive_system.rs
@@ -33,7 +33,7 @@
 pub struct NaiveSystem {
     index: String,
     layout: RwLock<Layout>,
-    client: Client,
+    client: RwLock<Client>,
     next_id: AtomicU64,
 }
 
@@ -43,7 +43,7 @@
         Self {
             index: index.into(),
             layout: RwLock::new(layout),
-            client: Client::default(),
+            client: RwLock::default(),
             next_id: AtomicU64::new(1),
         }
     }
@@ -53,10 +53,15 @@
         *self.layout.write() = layout;
     }
 
-    async fn ask(&self, addr: SocketAddr, sub: &Sub) -> Result<Vec<Row>, Kind> {
+    /// Closes all idle connections, which would count against the targets' limits while another system is measured.
+    pub fn disconnect(&self) {
+        *self.client.write() = Client::default();
+    }
+
+    async fn ask(&self, client: &Client, addr: SocketAddr, sub: &Sub) -> Result<Vec<Row>, Kind> {
         let timeout = Duration::from_millis(sub.deadline_ms);
         let answer: SubAnswer =
-            self.client.post(addr, "/v1/sub", sub, timeout).await.map_err(|_| Kind::Timeout)?;
+            client.post(addr, "/v1/sub", sub, timeout).await.map_err(|_| Kind::Timeout)?;
         let matches = answer.version == sub.version
             && answer.shard == sub.shard
             && answer.count == answer.rows.len();
@@ -67,6 +72,7 @@
 impl System for NaiveSystem {
     async fn query(&self, query: &Query) -> Result<Answer, Error> {
         let layout = self.layout.read().clone();
+        let client = self.client.read().clone();
         let subs = layout.replicas.iter().enumerate().map(|(shard, replicas)| {
             let sub = Sub {
                 id: self.next_id.fetch_add(1, Ordering::Relaxed),
@@ -78,7 +84,8 @@
                 deadline_ms: query.deadline_ms,
             };
             let addr = replicas[random_range(0..replicas.len())];
-            async move { (sub.shard, self.ask(addr, &sub).await) }
+            let client = &client;
+            async move { (sub.shard, self.ask(client, addr, &sub).await) }
         });
         let mut answer = Answer {
             request_id: String::new(),
