Log events only, not each call between control hosts

tarpc logs each call at the info level: about 60 lines a second and host when idle, between which the events were lost. The default filter keeps its errors.

--- a/src/bin/gentianpass-control.rs
+++ b/src/bin/gentianpass-control.rs
@@ -17,9 +17,12 @@
     check: bool,
 }
 
+/// tarpc logs each call at the level of events.
+const LOG_FILTER: &str = "info,tarpc=error";
+
 fn main() -> ExitCode {
     let args = Args::parse();
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(LOG_FILTER)).init();
     let cfg = match settings::load::<settings::Control>(&args.settings) {
         Ok(cfg) => cfg,
         Err(problems) => {
