Let a new index version wait until it can bear the load

Ruled out: late announcements of the stand-ins; they announce a change at once. Change: a version whose weakest shard has at most half as many replicas as that of another complete version waits; wrong_version brings no penalty.

--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -88,7 +88,8 @@
     }
 
     /// Avoids a target for a while after a failure that the next sub-request would probably meet too. Refusals for
-    /// lack of room are not among them: load hints tell about those.
+    /// lack of room are not among them: load hints tell about those. Neither is another index version: the target
+    /// serves that one, and a restart of the query needs it.
     pub(super) fn failed(&self, target: Option<&str>, kind: Kind) {
         let avoided = matches!(
             kind,
@@ -98,7 +99,6 @@
                 | Kind::NoTarget
                 | Kind::NotOwner
                 | Kind::Draining
-                | Kind::WrongVersion
         );
         if avoided && let Some(key) = target.and_then(|it| self.view.target_key(it)) {
             self.loads.lock().failed(key, Instant::now());
--- a/src/policy/pin.rs
+++ b/src/policy/pin.rs
@@ -31,8 +31,12 @@
     }
 }
 
-/// The newest version in use whose every shard has a usable replica, else the one with the largest share of covered
-/// shards, the newest on a tie. `None` if the group has no version in use.
+/// The newest complete version, else the one with the largest share of covered shards, the newest on a tie. `None` if
+/// the group has no version in use.
+///
+/// A version is complete if every shard has a usable replica. One whose weakest shard has at most half as many as that
+/// of another complete version has to wait: while a new version is rolled out zone by zone, the first zone alone
+/// could not bear the load of all queries.
 pub fn choose(group: &GroupView, usable: impl Fn(TargetKey) -> bool) -> Option<Pin> {
     best(group, usable, |_| true)
 }
@@ -55,20 +59,24 @@
     usable: impl Fn(TargetKey) -> bool,
     accepts: impl Fn(&VersionView) -> bool,
 ) -> Option<Pin> {
+    let versions = || {
+        let in_use = |it: &&VersionView| !it.retired && !it.shards.is_empty() && accepts(it);
+        group.versions.iter().enumerate().filter(move |(_, it)| in_use(it))
+    };
+    let weakest = |version: &VersionView| {
+        let replicas = |it: &Vec<TargetKey>| it.iter().filter(|&&key| usable(key)).count();
+        version.shards.iter().map(replicas).min().unwrap_or(0)
+    };
+    let strongest = versions().map(|(_, it)| weakest(it)).max()?;
+    if strongest > 0 {
+        let (index, version) = versions().find(|(_, it)| weakest(it) * 2 > strongest)?;
+        let total = version.shards.len() as u32;
+        return Some(Pin { index, number: version.number, covered: total, total });
+    }
     let mut best: Option<Pin> = None;
-    for (index, version) in group.versions.iter().enumerate() {
-        if version.retired || version.shards.is_empty() || !accepts(version) {
-            continue;
-        }
-        let pin = Pin {
-            index,
-            number: version.number,
-            covered: covered(version, &usable),
-            total: version.shards.len() as u32,
-        };
-        if pin.complete() {
-            return Some(pin);
-        }
+    for (index, version) in versions() {
+        let total = version.shards.len() as u32;
+        let pin = Pin { index, number: version.number, covered: covered(version, &usable), total };
         if best.is_none_or(|it| pin.cmp_share(&it).is_gt()) {
             best = Some(pin);
         }
