Return results of a batch in parts that fit a frame

Cause: an answer over 1 MiB is an error of the connection between two hosts and ends all calls on it. Change: an answer carries results up to half a frame; the others count as pending and are collected next.

--- a/src/owner/batch.rs
+++ b/src/owner/batch.rs
@@ -15,6 +15,7 @@
     error::{Kind, Outcome},
     owner::{canary::Turn, target::Target},
     wire::{
+        MAX_FRAME_BYTES,
         caller::Row,
         owner::{self, Class, Dispatched, Finished, Progress},
     },
@@ -23,6 +24,13 @@
 /// How long further sub-requests are awaited once one is finished.
 const COALESCING: Duration = Duration::from_millis(1);
 
+/// How many bytes of results one answer carries; half of the longest frame leaves room for all the rest. A single
+/// result is smaller than a frame, because its JSON was.
+const MAX_PROGRESS_BYTES: usize = MAX_FRAME_BYTES / 2;
+
+/// What a row or a result takes in a frame besides its text.
+const OVERHEAD_BYTES: usize = 32;
+
 /// A batch and what became of it.
 pub(super) struct Batch {
     pub batch: owner::Batch,
@@ -121,22 +129,20 @@
         }
     }
 
-    /// Waits until all is finished or `end` has come. True if nothing is pending.
-    pub async fn all(&self, end: Instant) -> bool {
+    /// Waits until all is finished or `end` has come.
+    pub async fn all(&self, end: Instant) {
         self.wait(Waiter::All, end, |it| it.pending == 0).await;
         self.expire(Instant::now());
-        self.state.lock().pending == 0
     }
 
-    /// Waits until something is finished or `end` has come. True if nothing is pending.
-    pub async fn any(&self, end: Instant) -> bool {
+    /// Waits until something is finished or `end` has come.
+    pub async fn any(&self, end: Instant) {
         self.wait(Waiter::Any, end, |it| it.pending == 0 || !it.finished.is_empty()).await;
         let coalesced = Instant::now() + COALESCING;
         if coalesced < end {
             self.wait(Waiter::All, coalesced, |it| it.pending == 0).await;
         }
         self.expire(Instant::now());
-        self.state.lock().pending == 0
     }
 
     async fn wait(&self, waiter: Waiter, end: Instant, met: impl Fn(&State) -> bool) {
@@ -157,16 +163,24 @@
         }
     }
 
-    /// What is finished since the last call, and the load of the targets that finished it.
+    /// What is finished since the last call, and the load of the targets that finished it. Results that would make the
+    /// frame too large count as pending until the next call.
     pub fn take(&self) -> Progress {
-        let (finished, pending, targets) = {
-            let mut state = self.state.lock();
-            let items = self.batch.items.iter().zip(&state.cells);
-            let pending =
-                items.filter(|(_, cell)| !matches!(cell, Cell::Done)).map(|(it, _)| it.shard);
-            let pending = pending.collect();
-            (std::mem::take(&mut state.finished), pending, std::mem::take(&mut state.targets))
+        let mut state = self.state.lock();
+        let mut bytes = 0;
+        let mut fits = |it: &Finished| {
+            let first = bytes == 0;
+            bytes += size(it);
+            first || bytes <= MAX_PROGRESS_BYTES
         };
+        let count = state.finished.iter().take_while(|it| fits(it)).count();
+        let left = state.finished.split_off(count);
+        let finished = std::mem::replace(&mut state.finished, left);
+        let items = self.batch.items.iter().zip(&state.cells);
+        let running = items.filter(|(_, cell)| !matches!(cell, Cell::Done)).map(|(it, _)| it.shard);
+        let pending = running.chain(state.finished.iter().map(|it| it.shard)).collect();
+        let targets = std::mem::take(&mut state.targets);
+        drop(state);
         Progress { finished, pending, hints: targets.iter().map(|it| it.hint()).collect() }
     }
 
@@ -228,6 +242,12 @@
     }
 }
 
+fn size(finished: &Finished) -> usize {
+    let rows = finished.result.iter().flatten();
+    let rows: usize = rows.map(|it| it.text.len() + OVERHEAD_BYTES).sum();
+    rows + finished.target.len() + OVERHEAD_BYTES
+}
+
 const WAITING: u8 = 0;
 const RUNNING: u8 = 1;
 const ABANDONED: u8 = 2;
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -117,12 +117,9 @@
         } else {
             self.start(&batch);
         }
-        let done = batch.all(partial_end).await;
+        batch.all(partial_end).await;
         guard.batch = None;
-        if done {
-            self.forget(id);
-        }
-        Ok(batch.take())
+        Ok(self.take(&batch))
     }
 
     /// Waits until something more of a batch is finished, at most `wait`. A batch is forgotten once all of it was
@@ -132,10 +129,8 @@
         let Some(batch) = batch else {
             return Err(Error::new(Kind::NotFound, format!("there is no batch {id}")));
         };
-        if batch.any(Instant::now() + wait).await {
-            self.forget(id);
-        }
-        Ok(batch.take())
+        batch.any(Instant::now() + wait).await;
+        Ok(self.take(&batch))
     }
 
     /// Cancels these shards of a batch, also at their targets.
@@ -215,6 +210,14 @@
         Ok(())
     }
 
+    fn take(&self, batch: &Batch) -> Progress {
+        let progress = batch.take();
+        if progress.pending.is_empty() {
+            self.forget(batch.batch.id);
+        }
+        progress
+    }
+
     fn forget(&self, id: BatchId) {
         self.batches.lock().remove(&id);
     }
--- a/tests/owner/server.rs
+++ b/tests/owner/server.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use gentianpass::{error::Kind, event, peer::Peers};
+use gentianpass::{error::Kind, event, peer::Peers, wire::owner::Batch};
 use tarpc::context;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -29,6 +29,31 @@
     });
 }
 
+/// Guards against results that are too large for one frame and cut off the connection with all its calls.
+#[test]
+fn server_large_results() {
+    run(async {
+        let fake = Fake::start("t");
+        let (_net, host) = owning(&fake, 4, 4).await;
+        let client = Peers::new().get(host.rpc).await.expect("client");
+        let large = Batch { text: "x".repeat(300_000), ..batch(1, &["t"; 5]) };
+        let mut progress =
+            client.exec(context::current(), large).await.expect("call").expect("reply");
+        let mut shards = Vec::new();
+        loop {
+            assert!(progress.finished.iter().all(|it| it.result.is_ok()));
+            shards.extend(progress.finished.iter().map(|it| it.shard));
+            if progress.pending.is_empty() {
+                break;
+            }
+            let more = client.collect(context::current(), 1, 1_000).await;
+            progress = more.expect("call").expect("reply");
+        }
+        shards.sort_unstable();
+        assert_eq!(shards, [0, 1, 2, 3, 4]);
+    });
+}
+
 /// Guards against work that goes on for a root whose process ended.
 #[test]
 fn server_root_gone() {
