Test deferred shards, old configurations and claims during a planned stop

Cause: trial mutations of the deferral, of the check against older configurations, of the wait for requests in progress and of the outcome after an earlier failure survived. Change: one test for each; stand-in owners refuse a view that is not newer.

--- a/tests/entry/control.rs
+++ b/tests/entry/control.rs
@@ -1,6 +1,6 @@
 //! A stand-in for the control hosts: one process-wide copy of the tables, served by the real wire protocol.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
 use gentianpass::{
     error::{Error, Kind},
@@ -36,6 +36,8 @@
     revision: watch::Sender<Revision>,
     silent: watch::Sender<bool>,
     loss: Mutex<Box<LossRule>>,
+    /// Answers to the next polls, in order.
+    forced: Mutex<VecDeque<Update>>,
     /// Answers polls with a gap in the changes.
     gap: Mutex<bool>,
 }
@@ -52,6 +54,7 @@
             revision: watch::Sender::new(0),
             silent: watch::Sender::new(false),
             loss: Mutex::new(Box::new(|_| Loss::None)),
+            forced: Mutex::default(),
             gap: Mutex::new(false),
         });
         let addr = control::serve(Server(shared.clone())).await.expect("listener");
@@ -83,6 +86,11 @@
         *self.shared.loss.lock() = Box::new(loss);
     }
 
+    /// Answers the next polls with this, as a control host from the past does.
+    pub fn force(&self, updates: impl IntoIterator<Item = Update>) {
+        self.shared.forced.lock().extend(updates);
+    }
+
     /// Leaves out a change in the next answer to a poll that has several.
     pub fn leave_gap(&self) {
         *self.shared.gap.lock() = true;
@@ -117,6 +125,9 @@
         let newer = revision.wait_for(|it| *it > poll.revision);
         let _ = tokio::time::timeout(Duration::from_millis(poll.wait_ms), newer).await;
         self.0.answering().await;
+        if let Some(forced) = self.0.forced.lock().pop_front() {
+            return Ok(forced);
+        }
         if poll.revision == 0 {
             return Ok(Update::Config(Box::new(self.0.tables.lock().config.clone())));
         }
--- a/tests/entry/lease.rs
+++ b/tests/entry/lease.rs
@@ -6,7 +6,7 @@
     error::{Kind, Outcome},
     event,
     state::Change,
-    wire::{caller::Entries, operator::EntryStatus},
+    wire::{caller::Entries, control::Update, operator::EntryStatus},
 };
 
 use crate::{
@@ -112,6 +112,25 @@
     assert_eq!(batches.iter().flat_map(|it| &it.items).find(drained), None);
 }
 
+/// Guards against a configuration that reverts because a control host from the past answers polls.
+#[tokio::test(flavor = "multi_thread")]
+async fn older_config() {
+    let control = control(2, 2).await;
+    let old = control.tables(|it| it.config.clone());
+    let entry = Entry::start(&control, "entry-1").await;
+    control.accept(set_label("target/t0-0", "drain", "true"));
+    entry.applied(&control).await;
+    let whole = || Update::Config(Box::new(old.clone()));
+    control.force([whole(), whole(), whole()]);
+    control.accept(set_label("target/t1-0", "drain", "true"));
+    entry.applied(&control).await;
+    for i in 0..10 {
+        assert_eq!(entry.query(&format!("name {i}"), 1_000).await.answer().covered, 2);
+    }
+    let batches = entry.fleet.batches();
+    assert!(batches.iter().flat_map(|it| &it.items).all(|it| it.target.ends_with("-1")));
+}
+
 /// Guards against a list of entry hosts with hosts that take no new callers, and against a wrong status.
 #[tokio::test(flavor = "multi_thread")]
 async fn entries_and_status() {
--- a/tests/entry/owners.rs
+++ b/tests/entry/owners.rs
@@ -179,7 +179,8 @@
 
 impl Owners for Fleet {
     fn apply(&self, view: &Arc<View>) {
-        *self.view.lock() = view.clone();
+        let old = std::mem::replace(&mut *self.view.lock(), view.clone());
+        assert!(old.revision < view.revision, "a configuration was put in force twice or reverted");
     }
 
     async fn exec(&self, _peer: &Peer, batch: Batch) -> Result<Progress> {
--- a/tests/entry/query.rs
+++ b/tests/entry/query.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -12,6 +15,7 @@
     state::Change,
     wire::caller::{Answer, Row},
 };
+use parking_lot::Mutex;
 use proptest::{prelude::*, test_runner::Config};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -91,6 +95,41 @@
     }
 }
 
+/// Guards against `not_run` for a query whose first sub-request may have run, although all later ones were refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_after_unknown() {
+    let control = control(4, 2).await;
+    let entry = Entry::start(&control, "entry-1").await;
+    let asked = AtomicU32::new(0);
+    entry.fleet.script(move |_, _| {
+        let first = asked.fetch_add(1, Ordering::SeqCst) == 0;
+        (NOW, Reply::Fail(if first { Kind::BadAnswer } else { Kind::Overloaded }))
+    });
+    let failure = entry.query("name", 2_000).await.failure();
+    assert_eq!(failure, (Kind::Overloaded, Outcome::Unknown));
+}
+
+/// Guards against a shard that is missing because all its targets are between two owners for a moment.
+#[tokio::test(flavor = "multi_thread")]
+async fn ownership_moves() {
+    let control = control(6, 2).await;
+    let entry = Entry::start(&control, "entry-1").await;
+    let asked: Mutex<HashMap<String, u32>> = Mutex::default();
+    entry.fleet.script(move |batch, item| {
+        let mut asked = asked.lock();
+        let times = asked.entry(format!("{}/{}", batch.text, item.target)).or_default();
+        *times += 1;
+        let moves = !batch.canary && item.shard == 2 && *times <= 2;
+        (NOW, if moves { Reply::Fail(Kind::NotOwner) } else { Reply::Rows })
+    });
+    for i in 0..10 {
+        let text = format!("name {i}");
+        let answer = entry.query(&text, 2_000).await.answer();
+        check(&answer, &text);
+        assert_eq!(answer.covered, 6, "{:?}", answer.missing);
+    }
+}
+
 /// Guards against a failed sub-request that is not sent to another replica, and against one that is sent to a replica
 /// twice.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/entry/stop.rs
+++ b/tests/entry/stop.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     owners::Reply,
-    support::{Entry, control, query, until},
+    support::{Entry, control, dispatch, now, post, query, until},
 };
 
 /// How a keep-alive connection ended.
@@ -120,6 +120,27 @@
     assert!(!control.tables(|it| it.config.nodes.contains_key("entry-1")));
 }
 
+/// Guards against a planned stop that leaves a claimed request without its settlement.
+#[tokio::test(flavor = "multi_thread")]
+async fn finishes_dispatch() {
+    let control = control(1, 1).await;
+    let mut entry = Entry::start(&control, "entry-1").await;
+    entry.fleet.delay_dispatch(Duration::from_secs(3));
+    let mut body = dispatch("job", now());
+    body["deadline_ms"] = 10_000.into();
+    let (fleet, addr) = (entry.fleet.clone(), entry.addr);
+    let request = tokio::spawn(async move {
+        post(addr, "/v1/dispatch", "designer", body.to_string()).await;
+    });
+    until("sent", async || !fleet.dispatches().is_empty()).await;
+    request.abort();
+    let claims = control.tables(|it| it.claims.clone());
+    entry.stop();
+    entry.ended().await.expect("ended");
+    let settled = control.tables(|it| it.claims.clone());
+    assert!(claims != settled && settled.len() == 1, "{settled:?}");
+}
+
 /// Guards against a planned stop that never ends when the control hosts do not answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn without_quorum() {
