--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -1,5 +1,6 @@
 //! The promises of the system, each under the failures that threaten it, with real processes.
 
 mod at_most_once;
+mod config;
 #[expect(dead_code, reason = "used by the modules that follow")]
 mod support;
