Test that a drained zone receives no work after 3 s

The owner of the zone's targets is killed, frozen or cut off without an error when the zone is taken out, and the zone is taken out twice.

--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -4,3 +4,4 @@
 mod config;
 #[expect(dead_code, reason = "used by the modules that follow")]
 mod support;
+mod zone_drain;
