--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -2,6 +2,7 @@
 
 mod at_most_once;
 mod config;
+mod coverage;
 mod snapshot;
 #[expect(dead_code, reason = "used by the modules that follow")]
 mod support;
