--- /dev/null
+++ b/tests/invariants/main.rs
@@ -0,0 +1,9 @@
+//! The promises of the system, each under the failures that threaten it, with real processes.
+
+mod at_most_once;
+mod config;
+mod coverage;
+mod snapshot;
+#[expect(dead_code, reason = "used by the modules that follow")]
+mod support;
+mod zone_drain;
