Keep the limit of a gained target until its first report

Cause: a new owner did not know whether its target is cold until the next renewal, up to 1 s after the revision. Successes at the warm-up limit are timely on a cold target too, so the limit grew after 250 ms and the target collapsed. warm_up::targets_crash_twice (16 callers, 2.5 s cold) saw 9 overloads and 1 collapse at a target in its first start.

Change: growth waits for a report of this process of the target. A learned limit that comes with a release is still adopted.

--- a/src/owner/state.rs
+++ b/src/owner/state.rs
@@ -58,12 +58,14 @@
 
 impl State {
     pub fn new(view: &TargetView, now: Instant) -> Self {
+        let mut limit = Limit::new(now, view.warm_up, view.slots);
+        limit.await_report();
         Self {
             usable: view.usable,
             connections: view.connections,
             slots: view.slots,
             warm_up: view.warm_up,
-            limit: Limit::new(now, view.warm_up, view.slots),
+            limit,
             in_flight: 0,
             queues: Default::default(),
             cancels: VecDeque::new(),
--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -89,6 +89,7 @@
     shed: Option<Instant>,
     hold: Duration,
     cold: bool,
+    awaits_report: bool,
     histories: [History; 2],
 }
 
@@ -106,6 +107,7 @@
             shed: None,
             hold: MIN_HOLD,
             cold: false,
+            awaits_report: false,
             histories: [History::default(); 2],
         }
     }
@@ -121,6 +123,12 @@
         (history.samples >= MIN_SAMPLES).then(|| Duration::from_micros(history.usual_us as u64))
     }
 
+    /// Keeps the limit from growing until the target has reported whether it is cold. Successes within the warm-up limit
+    /// are timely on a cold target too.
+    pub fn await_report(&mut self) {
+        self.awaits_report = true;
+    }
+
     /// Continues with the limit that the previous owner learned.
     pub fn adopt(&mut self, now: Instant, learned: u32) {
         if !self.cold {
@@ -140,6 +148,7 @@
     /// warm only ends that.
     pub fn report(&mut self, now: Instant, cold: bool) -> Option<Step> {
         self.cold = cold;
+        self.awaits_report = false;
         if !cold {
             return None;
         }
@@ -190,7 +199,7 @@
         }
         self.successes = (self.successes + 1).min(GROW_SUCCESSES);
         let held = now.saturating_duration_since(self.changed) >= self.hold;
-        if self.cold || !held || self.successes < GROW_SUCCESSES {
+        if self.cold || self.awaits_report || !held || self.successes < GROW_SUCCESSES {
             return None;
         }
         if self.grown.is_some_and(|it| now.saturating_duration_since(it) > PROBATION) {
--- a/tests/owner/limit.rs
+++ b/tests/owner/limit.rs
@@ -322,3 +322,21 @@
     assert!(paces.windows(2).all(doubled), "{paces:?}");
     assert_eq!(limit.value(), 1);
 }
+
+/// Guards against an overloaded cold target whose owner has not heard from it yet.
+#[test]
+fn limit_awaits_report() {
+    let now = &mut Instant::now();
+    let mut limit = Limit::new(*now, 1, 4);
+    limit.await_report();
+    for _ in 0..200 {
+        succeed(&mut limit, now, 1_000);
+    }
+    assert_eq!(limit.value(), 1);
+    limit.adopt(*now, 3);
+    assert_eq!(limit.value(), 3, "the previous owner knew the target");
+    limit.report(*now, false);
+    while limit.value() < 4 {
+        succeed(&mut limit, now, 1_000);
+    }
+}
