Fall back to the warm-up limit when a target ends a connection

Cause: a target that crashes listens on the same address again before its new incarnation has reached its owner by announcement and commit. Ruled out: a second owner at the same time (the waits of the new owner were in place).

Change: a connection that the target closes or refuses resets the limit to the warm-up limit until this process of the target reports again. A silent connection, which this host closes itself, changes nothing. Cost: a target that closes a single connection regains its limit by growth.

--- a/src/owner/conn.rs
+++ b/src/owner/conn.rs
@@ -29,12 +29,16 @@
 /// Connects, and works until the connection ends or is no longer needed.
 pub(super) async fn run(target: Arc<Target>, mut open: Open) {
     let Ok(link) = Link::open(target.addr).await else {
+        target.doubt();
         open.refused();
         return;
     };
     let mut worker = Worker { target, link, wake: Arc::new(Notify::new()), unknown: None };
     open.connected();
     worker.work().await;
+    if worker.link.ended() {
+        worker.target.doubt();
+    }
     drop(open);
     if let Some((slot, deadline)) = worker.unknown.take() {
         tokio::time::sleep_until(deadline).await;
@@ -150,6 +154,7 @@
             return false;
         }
         if matches!(answer, Err(Fault::Broken | Fault::CutOff)) {
+            target.doubt();
             self.check_crash(&job).await;
             if answer == Err(Fault::Broken) {
                 target.cancel_sub(&job, id);
--- a/src/owner/link.rs
+++ b/src/owner/link.rs
@@ -124,6 +124,11 @@
         matches!(tokio::time::timeout(timeout, ready).await, Ok(Ok(())))
     }
 
+    /// Whether the connection has ended.
+    pub fn ended(&self) -> bool {
+        self.connection.is_none()
+    }
+
     /// Completes when the connection ends.
     pub async fn closed(&mut self) {
         if let Some(connection) = &mut self.connection {
--- a/src/owner/target.rs
+++ b/src/owner/target.rs
@@ -262,6 +262,12 @@
         state.unlogged = Some(Step { from, ..step });
     }
 
+    /// The target ended or refused a connection. A process that restarts does the same and listens on the same address
+    /// before its new incarnation is known here.
+    pub fn doubt(&self) {
+        self.adjust(|state| state.limit.doubt(Instant::now()));
+    }
+
     /// Sends nothing more: what waits is rejected, what runs may end.
     pub fn close(self: &Arc<Self>, kind: Kind) {
         self.state.lock().closed = Some(kind);
--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -61,6 +61,8 @@
     TurnedCold,
     /// The target reported that it is cold.
     ColdReported,
+    /// The target closed or refused a connection, as a process that ends does.
+    ConnectionEnded,
     /// The target announced other limits.
     Announced,
 }
@@ -129,6 +131,12 @@
         self.awaits_report = true;
     }
 
+    /// Falls back to the warm-up limit because the target may be another process now, which is cold.
+    pub fn doubt(&mut self, now: Instant) -> Option<Step> {
+        self.awaits_report = true;
+        self.reset(now, Cause::ConnectionEnded)
+    }
+
     /// Continues with the limit that the previous owner learned.
     pub fn adopt(&mut self, now: Instant, learned: u32) {
         if !self.cold {
--- a/tests/owner/limit.rs
+++ b/tests/owner/limit.rs
@@ -340,3 +340,19 @@
         succeed(&mut limit, now, 1_000);
     }
 }
+
+/// Guards against the load of an earlier life at a target that restarted on the same address.
+#[test]
+fn limit_doubt() {
+    let now = &mut Instant::now();
+    let mut limit = warm(now);
+    limit.doubt(*now);
+    for _ in 0..200 {
+        succeed(&mut limit, now, 1_000);
+    }
+    assert_eq!(limit.value(), 1);
+    limit.report(*now, false);
+    while limit.value() < 4 {
+        succeed(&mut limit, now, 1_000);
+    }
+}
