--- a/src/owner/conn.rs
+++ b/src/owner/conn.rs
@@ -41,6 +41,7 @@
 async fn run(mut open: Open) {
     let target = open.target.clone();
     let Some(link) = connect(&target).await else {
+        target.doubt();
         open.refused();
         return;
     };
@@ -180,6 +181,7 @@
             return false;
         }
         if matches!(answer, Err(Fault::Broken | Fault::CutOff)) {
+            target.doubt();
             self.check_crash(&job).await;
             if answer == Err(Fault::Broken) {
                 target.cancel_sub(&job, id);
