Make tests of the owner independent of the load of the machine

Cause: with five copies at once, cancel_dropped_exec, connection_limit and load_overloaded failed now and then. Ruled out: faults of the owner. The stand-in target notices the end of a connection later than the owner that closed it at the deadline, so a count over all time saw one request too many; a request that timed out need not have reached a handler; an aborted task ends a little after the abort.

--- a/tests/owner/cancel.rs
+++ b/tests/owner/cancel.rs
@@ -62,6 +62,7 @@
         });
         until("both run", || fake.running() == 2).await;
         exec.abort();
+        assert!(exec.await.expect_err("aborted").is_cancelled());
         host.owner.cancel(1, vec![0, 1]).await;
         until("the target ends both", || fake.running() == 0).await;
         assert_eq!(fake.facts.cancelled.lock().len(), 2);
