Test that cold targets are not overloaded

Targets of a zone crash twice under load, their owner is killed while they are cold and comes back, or is frozen while they restart. The stand-ins count each request that starts above what they can handle.

--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -6,4 +6,5 @@
 mod snapshot;
 #[expect(dead_code, reason = "used by the modules that follow")]
 mod support;
+mod warm_up;
 mod zone_drain;
