Test that leaving targets receive no work after 3 s

The control leader is killed, the owner is frozen while another entry host is killed, or the owner is cut off without an error when the targets of a zone announce that they leave. The stand-ins go on taking work, so that only the system keeps it away.

--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -7,5 +7,6 @@
 mod snapshot;
 #[expect(dead_code, reason = "used by the modules that follow")]
 mod support;
+mod target_drain;
 mod warm_up;
 mod zone_drain;
