--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -3,6 +3,7 @@
 mod at_most_once;
 mod config;
 mod coverage;
+mod rejection;
 mod shutdown;
 mod snapshot;
 #[expect(dead_code, reason = "used by the modules that follow")]
