Test that each caller receives the answer to its own request

24 callers with different texts: with stragglers, hedges and cancels, and with connections that stop carrying data and an entry host that is frozen within its lease and beyond it.

--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -2,11 +2,11 @@
 
 mod at_most_once;
 mod config;
+mod correlation;
 mod coverage;
 mod rejection;
 mod shutdown;
 mod snapshot;
-#[expect(dead_code, reason = "used by the modules that follow")]
 mod support;
 mod target_drain;
 mod warm_up;
