--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod correlation;
 mod coverage;
+mod faults;
 mod rejection;
 mod shutdown;
 mod snapshot;
