Test a target at its connection limit and a deadline that passes at the target

Change: two cases in the owner's tests. Conclusion: the stand-in closes health requests like a target at its limit.

--- a/tests/owner/answer.rs
+++ b/tests/owner/answer.rs
@@ -44,6 +44,7 @@
         let cases = [
             (Mode::Shed, Kind::Shed),
             (Mode::Draining, Kind::Draining),
+            (Mode::TimedOut, Kind::Timeout),
             (Mode::Break, Kind::Disconnected),
             (Mode::Hang, Kind::Timeout),
         ];
--- a/tests/owner/canary.rs
+++ b/tests/owner/canary.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use futures::future::join_all;
 use gentianpass::{
@@ -114,6 +114,21 @@
     });
 }
 
+/// Guards against a target at its connection limit that counts as crashed, because it closes new connections.
+#[test]
+fn canary_connection_limit() {
+    run(async {
+        let fakes = [Fake::start("a")];
+        let (net, host) = start(&fakes).await;
+        assert_eq!(kinds(&exec(&host, 1, "a").await), [None]);
+        fakes[0].facts.full.store(2, Ordering::SeqCst);
+        fakes[0].once(Mode::Break);
+        assert_eq!(kinds(&exec(&host, 2, "a").await), [Some(Kind::Disconnected)]);
+        assert_eq!(fakes[0].facts.full.load(Ordering::SeqCst), 0, "health was asked again");
+        assert!(suspects(&net).is_empty());
+    });
+}
+
 /// Guards against several copies of an unknown request that run at once.
 #[test]
 fn canary_one_at_a_time() {
--- a/tests/owner/fake.rs
+++ b/tests/owner/fake.rs
@@ -35,6 +35,8 @@
     Answer,
     Shed,
     Draining,
+    /// The deadline passes while the request runs.
+    TimedOut,
     /// The request never ends and the connection carries no bytes.
     Hang,
     /// The process ends.
@@ -66,6 +68,8 @@
     pub handled: AtomicU32,
     pub connections: AtomicU32,
     pub health: AtomicU32,
+    /// How many health requests are not answered but have their connection closed, as at the connection limit.
+    pub full: AtomicU32,
     pub subs: Mutex<Vec<Sub>>,
     pub cancelled: Mutex<HashSet<u64>>,
     cancel: Notify,
@@ -116,6 +120,7 @@
             handled: 0.into(),
             connections: 0.into(),
             health: 0.into(),
+            full: 0.into(),
             subs: Mutex::default(),
             cancelled: Mutex::default(),
             cancel: Notify::new(),
@@ -241,6 +246,10 @@
         }
         match mode {
             Mode::CutOff => Err(cut_off()),
+            Mode::TimedOut => {
+                let refusal = Json(Refusal { error: Kind::Timeout });
+                Err((StatusCode::GATEWAY_TIMEOUT, refusal).into_response())
+            }
             Mode::NotJson => Err("{\"id\":".into_response()),
             Mode::Confused => Err(Json(Refusal { error: Kind::Shed }).into_response()),
             _ => Ok(()),
@@ -313,6 +322,10 @@
 
 async fn health(State(app): State<App>) -> Json<Health> {
     app.facts.health.fetch_add(1, Ordering::SeqCst);
+    let less = |it: u32| it.checked_sub(1);
+    if app.facts.full.fetch_update(Ordering::SeqCst, Ordering::SeqCst, less).is_ok() {
+        std::panic::resume_unwind(Box::new("the connection is closed"));
+    }
     Json(Health {
         name: app.name.clone(),
         incarnation: app.facts.incarnation.load(Ordering::SeqCst),
