Limit broad queries by how many end in time

Ruled out: the estimate of the mean wait alone, which is capped by the recent latency and so never exceeds a deadline; a fixed smaller limit, which depends on the fleet. Change: a broad query that misses shards because of queues or deadlines cuts the limit of broad queries by a fifth, at most once in 200 ms, and a timely one at the limit raises it by one per round.

--- a/src/entry/query.rs
+++ b/src/entry/query.rs
@@ -98,7 +98,7 @@
         let message = format!("the index {:?} has no version in use", ask.index);
         return Err(Error::new(Kind::NoTarget, message).into());
     };
-    let _permit = admit(host, &current, group, &ask, pin)?;
+    let permit = admit(host, &current, group, &ask, pin)?;
     let mut fan = Fan::new(host.clone(), ask.clone(), pin.number, pin.total as usize);
     if !host.policy.known_good(ask.fingerprint) {
         canary::run(host, &ask, &mut fan).await.map_err(|err| stopped(err, fan.shards()))?;
@@ -106,6 +106,7 @@
     let steps = fan.full(Cause::First);
     drive::run(host, &mut fan, steps).await;
     let fan = restart(host, &ask, pin, fan).await;
+    permit.report(late(fan.shards()), Instant::now());
     finish(host, &ask, fan)
 }
 
@@ -190,6 +191,12 @@
     if share(second.shards()) > share(first.shards()) { second } else { first }
 }
 
+/// Whether queues or deadlines cost the query shards.
+fn late(shards: &Shards) -> bool {
+    let load = [Kind::Overloaded, Kind::Shed, Kind::DeadlinePassed, Kind::Timeout];
+    shards.missing().iter().any(|it| load.contains(&it.reason))
+}
+
 fn share(shards: &Shards) -> f64 {
     shards.covered() as f64 / shards.total() as f64
 }
--- a/tests/policy/admit.rs
+++ b/tests/policy/admit.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gentianpass::{error::Kind, policy::admit::Gate, wire::owner::Class};
 use proptest::prelude::*;
@@ -60,3 +60,24 @@
     let late = gate.admit(Class::Quick, Duration::ZERO, Duration::ZERO);
     assert_eq!(late.expect_err("rejected"), Kind::DeadlinePassed);
 }
+
+/// Guards against broad queries that share too little capacity and all end incomplete.
+#[test]
+fn admit_after_late_queries() {
+    let gate = Gate::new(40);
+    let start = Instant::now();
+    let admit = || gate.admit(Class::Broad, Duration::ZERO, Duration::from_secs(1));
+    let late: Vec<_> = (0..30).map(|_| admit().expect("below the limit")).collect();
+    for (i, permit) in late.iter().enumerate() {
+        permit.report(true, start + Duration::from_millis(i as u64));
+    }
+    drop(late);
+    let permits: Vec<_> = std::iter::from_fn(|| admit().ok()).collect();
+    assert_eq!(permits.len(), 24, "queries that are late together cut the limit once");
+    for _ in 0..1_000 {
+        permits[0].report(false, start);
+    }
+    let more = std::iter::from_fn(|| admit().ok()).collect::<Vec<_>>().len();
+    assert!(more > 0, "timely queries raise the limit");
+    assert!(permits.len() + more <= 30, "never above the share of broad queries");
+}
