--- a/tests/invariants/support.rs
+++ b/tests/invariants/support.rs
@@ -74,7 +74,7 @@
 const DEADLINE_MS: u64 = 1_500;
 
 /// Fleets that run at the same time. More of them slow each other down on a machine with ten cores.
-static FLEETS: Semaphore = Semaphore::const_new(3);
+static FLEETS: Semaphore = Semaphore::const_new(4);
 
 /// A running fleet.
 pub struct World {
--- a/tests/invariants/warm_up.rs
+++ b/tests/invariants/warm_up.rs
@@ -107,3 +107,53 @@
     let answer = world.query_at(0, &text(1)).await.expect("answer");
     world.check(&text(1), &answer);
 }
+
+/// Guards against the load of an earlier life at targets that restart while none of their announcements arrives.
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_without_announcement() {
+    let world = world_with(slow_start).await;
+    let traffic = Traffic::start(&world, 16);
+    world.fleet.fault(&[], Fault::Slow { factor: 4.0 }).await.expect("slow");
+    until_grown(&world, ZONES[0]).await;
+    until("the limits have grown", RECOVERY, async || {
+        let stats = world.stats().await;
+        (0..SHARDS).all(|it| stats[&target(it, ZONES[0])].running > 1).then_some(())
+    })
+    .await;
+    world.fault(&zone(ZONES[0]), Fault::Announce { on: false }).await;
+    world.fault(&zone(ZONES[0]), Fault::Crash { back_after_ms: 0 }).await;
+    traffic.answered(150).await;
+    world.fault(&zone(ZONES[0]), Fault::Announce { on: true }).await;
+    until_grown(&world, ZONES[0]).await;
+    assert_no_overload(&world).await;
+    world.check_all(&traffic.stop().await);
+}
+
+/// Guards against two owners at once: the owner comes back while the one that stood in for it has slow requests running
+/// at cold targets.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_returns_while_cold() {
+    let mut world = world_with(slow_start).await;
+    let traffic = Traffic::start(&world, 16);
+    until_grown(&world, ZONES[0]).await;
+    world.fleet.entries[0].process.kill().expect("kill");
+    until("the host is expired", RECOVERY, async || {
+        let state = world.fleet.operator.state().await.ok()?;
+        (state.nodes.len() == 2).then_some(())
+    })
+    .await;
+    until_grown(&world, ZONES[0]).await;
+    world.fault(&zone(ZONES[0]), Fault::Slow { factor: 40.0 }).await;
+    world.fault(&zone(ZONES[0]), Fault::Crash { back_after_ms: 0 }).await;
+    world.fleet.entries[0].process.restart().expect("restart");
+    until("the host is back", RECOVERY, async || {
+        let state = world.fleet.operator.state().await.ok()?;
+        (state.nodes.len() == 3).then_some(())
+    })
+    .await;
+    traffic.answered(60).await;
+    world.fault(&zone(ZONES[0]), Fault::Slow { factor: 1.0 }).await;
+    until_grown(&world, ZONES[0]).await;
+    assert_no_overload(&world).await;
+    world.check_all(&traffic.stop().await);
+}
