Verify the process behind a new connection

Cause (suspected from warm_up::targets_crash_twice, not traced): after a crash the owner reconnects to the same address before the new incarnation is known.

Change: while a target has still to report, a new connection asks for its health first. A connection to another process is refused, and its report counts for this one. Cost: one health request per new connection to a target that was gained or ended a connection.

--- a/src/owner/conn.rs
+++ b/src/owner/conn.rs
@@ -28,11 +28,16 @@
 
 /// Connects, and works until the connection ends or is no longer needed.
 pub(super) async fn run(target: Arc<Target>, mut open: Open) {
-    let Ok(link) = Link::open(target.addr).await else {
+    let Ok(mut link) = Link::open(target.addr).await else {
         target.doubt();
         open.refused();
         return;
     };
+    let doubtful = target.state.lock().limit.awaits_report();
+    if doubtful && !verify(&target, &mut link).await {
+        open.refused();
+        return;
+    }
     let mut worker = Worker { target, link, wake: Arc::new(Notify::new()), unknown: None };
     open.connected();
     worker.work().await;
@@ -46,6 +51,19 @@
     }
 }
 
+/// Whether the process that this owner knows answers on a new connection. Its next process, which has another owner
+/// state, may listen on the same address already.
+async fn verify(target: &Target, link: &mut Link) -> bool {
+    let silence = target.shared.silence;
+    let end = Instant::now() + silence;
+    let Ok(answer) = link.exchange(Message::get("/v1/health"), end, end, || ()).await else {
+        return false;
+    };
+    let Some(health) = health(&answer) else { return link.ready(silence).await };
+    target.report(health.incarnation, health.cold);
+    health.incarnation == target.incarnation && link.ready(silence).await
+}
+
 struct Worker {
     target: Arc<Target>,
     link: Link,
--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -137,6 +137,11 @@
         self.reset(now, Cause::ConnectionEnded)
     }
 
+    /// Whether the target has still to report.
+    pub fn awaits_report(&self) -> bool {
+        self.awaits_report
+    }
+
     /// Continues with the limit that the previous owner learned.
     pub fn adopt(&mut self, now: Instant, learned: u32) {
         if !self.cold {
