--- a/src/owner/conn.rs
+++ b/src/owner/conn.rs
@@ -27,6 +27,9 @@
 /// How long the answer to a cancel request may take.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The target's deadline lies this much earlier than the owner's, so that it has given up when the owner frees the slot.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
+
 /// How long the health request after a broken connection may take.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -165,7 +168,8 @@
         // A target must not run anything longer than the new owner waits after the lease of this one.
         let deadline = job.deadline.min(started + shared.max_sub_request);
         let span = exchange::span(&job, &target);
-        let message = exchange::message(&job, id, deadline - started, span.as_ref());
+        let left = (deadline - started).saturating_sub(DEADLINE_MARGIN);
+        let message = exchange::message(&job, id, left, span.as_ref());
         if let Err(kind) = shared.lease.check() {
             slot.release();
             target.reject(job, kind);
