--- a/src/bin/gentianpass-lab.rs
+++ b/src/bin/gentianpass-lab.rs
@@ -32,6 +32,9 @@
         /// Short slices of the main scenarios, for 50 s in all.
         #[arg(long)]
         quick: bool,
+        /// How often each system has its turn in each scenario.
+        #[arg(long, value_name = "COUNT")]
+        slices: Option<u32>,
         /// Only this scenario; may be repeated.
         #[arg(long = "scenario", value_name = "NAME")]
         scenarios: Vec<Scenario>,
@@ -71,12 +74,13 @@
     runtime.block_on(async {
         match command {
             Command::Demo => until_signal(demo::run(binaries, controls)).await,
-            Command::Measure { quick, scenarios, workload } => {
+            Command::Measure { quick, slices, scenarios, workload } => {
                 let options =
                     if quick { measure::Options::quick() } else { measure::Options::full() };
                 let size = Size { controls, ..options.size };
+                let slices = slices.unwrap_or(options.slices);
                 let scenarios = if scenarios.is_empty() { options.scenarios } else { scenarios };
-                let options = measure::Options { size, scenarios, workload, ..options };
+                let options = measure::Options { slices, size, scenarios, workload, ..options };
                 until_signal(measure::run(binaries, options)).await
             }
             Command::Slope { fan_outs, entries, seconds } => {
