Let resent dispatches say so, share the processes' main, drop second copies

Cause: a refusal before the claim is known (no_lease, overloaded) said not_run to a key that another host may have run. Ruled out: unknown for every early refusal, which would make each rejected first attempt look uncertain; a look at the claim without a lease, which may be stale. Change: dispatch bodies may carry resend; such a refusal then ends as unknown. process::main reads arguments and settings for all processes. The control host's HTTP API uses wire::operator::State::new and From<Edit>.

--- a/src/control/http.rs
+++ b/src/control/http.rs
@@ -1,7 +1,6 @@
 //! The operators' HTTP API of a control host.
 
 use std::{
-    collections::BTreeSet,
     hint::black_box,
     io,
     net::SocketAddr,
@@ -26,15 +25,12 @@
     error::{Error, Kind, Outcome},
     event,
     raft::{self, MemberId},
-    state::{Change, Config, Group, Labels, Object, Reply, Selector},
+    state::{Change, Group, Reply, Selector},
     wire::{
         MAX_BODY_BYTES,
         caller::Failure,
         control::Submit,
-        operator::{
-            self, ChangeAnswer, ChangeRequest, Edit, Member, ObjectLabels, SuspectState,
-            VersionState,
-        },
+        operator::{self, ChangeAnswer, ChangeRequest, Member, ObjectLabels},
     },
 };
 
@@ -132,7 +128,7 @@
 async fn current(host: &Host) -> Result<operator::State, Error> {
     host.confirm(None).await?;
     let members = members(host);
-    Ok(host.read(|tables| operator_state(&tables.config, members)))
+    Ok(host.read(|tables| operator::State::new(&tables.config, members)))
 }
 
 async fn change(
@@ -150,7 +146,7 @@
     let id = Uuid::parse_str(&request.id)
         .map_err(|err| bad_request(format!("id {:?} is not a UUID: {err}", request.id)))?;
     let submit =
-        Submit { id: id.as_u128(), base: Some(request.base), change: into_change(request.edit) };
+        Submit { id: id.as_u128(), base: Some(request.base), change: Change::from(request.edit) };
     let reply = submit_until(&host, submit).await.map_err(unsure)?;
     if let Reply::Applied { revision } = reply {
         host.reach(revision).await;
@@ -226,17 +222,6 @@
     StatusCode::from_u16(kind.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
 }
 
-fn into_change(edit: Edit) -> Change {
-    match edit {
-        Edit::SetLabel { object, key, value } => Change::SetLabel { object, key, value },
-        Edit::RemoveLabel { object, key } => Change::RemoveLabel { object, key },
-        Edit::PutGroup(group) => Change::PutGroup(group),
-        Edit::RemoveGroup { name } => Change::RemoveGroup { name },
-        Edit::PutSelector(selector) => Change::PutSelector(selector),
-        Edit::RemoveSelector { name } => Change::RemoveSelector { name },
-    }
-}
-
 fn members(host: &Host) -> Vec<Member> {
     let standing = host.standing();
     let leader = standing.leader.map(|(id, _)| id);
@@ -254,46 +239,3 @@
     };
     standing.membership.members.iter().map(member).collect()
 }
-
-fn operator_state(config: &Config, members: Vec<Member>) -> operator::State {
-    let labels = |(object, labels): (&Object, &Labels)| ObjectLabels {
-        object: object.clone(),
-        labels: labels.clone(),
-    };
-    operator::State {
-        revision: config.revision,
-        operator_revision: config.operator_revision,
-        labels: config.labels.iter().map(labels).collect(),
-        groups: config.groups.values().cloned().collect(),
-        selectors: config.selectors.values().cloned().collect(),
-        nodes: config.nodes.values().cloned().collect(),
-        targets: config.targets.values().cloned().collect(),
-        versions: version_states(config),
-        suspects: suspect_states(config),
-        members,
-    }
-}
-
-fn version_states(config: &Config) -> Vec<VersionState> {
-    let holdings = config.targets.values().flat_map(|it| &it.holdings);
-    let held: BTreeSet<_> = holdings.map(|it| (it.index.as_str(), it.version, it.shard)).collect();
-    let state = |(index, version): &(String, u64), shards: u32| VersionState {
-        index: index.clone(),
-        version: *version,
-        shards,
-        held: held
-            .range((index.as_str(), *version, 0)..=(index.as_str(), *version, u32::MAX))
-            .count() as u32,
-    };
-    config.versions.iter().map(|(key, it)| state(key, it.shards)).collect()
-}
-
-fn suspect_states(config: &Config) -> Vec<SuspectState> {
-    let state = |(fingerprint, it): (&u64, &crate::state::Suspect)| SuspectState {
-        fingerprint: *fingerprint,
-        targets: it.targets.iter().cloned().collect(),
-        quarantined: config.quarantined(*fingerprint),
-        until_ms: it.until_ms,
-    };
-    config.suspects.iter().map(state).collect()
-}
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -21,6 +21,7 @@
     },
     error::{Error, Kind, Outcome, Result},
     policy::{
+        admit::Permit,
         budget::{Rule, rule},
         canary::fingerprint,
     },
@@ -48,6 +49,20 @@
     nonce: u64,
 }
 
+/// A claim that this host holds, and what the attempts need.
+struct Held {
+    ticket: Ticket,
+    fingerprint: u64,
+    end: Instant,
+    _permit: Permit,
+}
+
+/// The answer to a claim.
+enum Claimed {
+    Held(Held),
+    Recorded(Outcome, Option<String>),
+}
+
 /// How the attempts ended.
 struct Ending {
     settlement: Settlement,
@@ -82,9 +97,36 @@
     arrival: &Arrival,
     body: &caller::Dispatch,
 ) -> Result<caller::Dispatched, Rejection> {
+    let pass = host.gate.enter().map_err(|err| before_claim(body, err.into()))?;
+    let held = hold(host, arrival, body).await.map_err(|err| before_claim(body, err))?;
+    let held = match held {
+        Claimed::Held(held) => held,
+        Claimed::Recorded(outcome, result) => return recorded_answer(arrival, outcome, result),
+    };
+    let ending = attempts(host, arrival, body, held.fingerprint, held.end).await;
+    settle(host, held.ticket, ending.settlement.clone(), pass, held.end).await;
+    match ending.error {
+        Some(error) => Err(Rejection { error, outcome: ending.settlement.outcome }),
+        None => recorded_answer(arrival, Outcome::Done, ending.settlement.result),
+    }
+}
+
+/// A refusal before the claim is known says nothing about earlier attempts with the same key.
+fn before_claim(body: &caller::Dispatch, mut rejection: Rejection) -> Rejection {
+    if body.resend {
+        rejection.outcome = Outcome::Unknown;
+    }
+    rejection
+}
+
+/// Checks the request and claims its key.
+async fn hold<O: Owners>(
+    host: &Arc<Host<O>>,
+    arrival: &Arrival,
+    body: &caller::Dispatch,
+) -> Result<Claimed, Rejection> {
     let end = deadline(arrival.at, body.deadline_ms)?;
     check_text(&body.body)?;
-    let pass = host.gate.enter()?;
     host.check_lease()?;
     let current = host.current();
     current.view.admit(&arrival.caller, &body.kind, &body.group)?;
@@ -100,7 +142,7 @@
     }
     let class = current.view.class(&body.kind);
     let left = end.saturating_duration_since(Instant::now());
-    let _permit = host.policy.admit(class, Duration::ZERO, left)?;
+    let permit = host.policy.admit(class, Duration::ZERO, left)?;
 
     let claim = Claim {
         key: format!("{}/{}", arrival.caller, body.key),
@@ -110,21 +152,12 @@
         node: host.parts.cfg.name.clone(),
     };
     let ticket = Ticket { key: claim.key.clone(), nonce: claim.nonce };
-    let recorded = match claimed(host, claim, end).await {
-        Ok(Reply::Granted) => None,
-        Ok(Reply::Claimed { outcome, result }) => Some((outcome, result)),
-        Ok(Reply::Rejected(err)) => return Err(err.into()),
-        Ok(other) => return Err(unknown(format!("the control hosts answer {other:?}"))),
-        Err(err) => return Err(withdraw(host, ticket, end, err).await),
-    };
-    if let Some((outcome, result)) = recorded {
-        return recorded_answer(arrival, outcome, result);
-    }
-    let ending = attempts(host, arrival, body, fingerprint, end).await;
-    settle(host, ticket, ending.settlement.clone(), pass, end).await;
-    match ending.error {
-        Some(error) => Err(Rejection { error, outcome: ending.settlement.outcome }),
-        None => recorded_answer(arrival, Outcome::Done, ending.settlement.result),
+    match claimed(host, claim, end).await {
+        Ok(Reply::Granted) => Ok(Claimed::Held(Held { ticket, fingerprint, end, _permit: permit })),
+        Ok(Reply::Claimed { outcome, result }) => Ok(Claimed::Recorded(outcome, result)),
+        Ok(Reply::Rejected(err)) => Err(err.into()),
+        Ok(other) => Err(unknown(format!("the control hosts answer {other:?}"))),
+        Err(err) => Err(withdraw(host, ticket, end, err).await),
     }
 }
 
--- a/src/lab/demo/site.rs
+++ b/src/lab/demo/site.rs
@@ -173,6 +173,7 @@
         issued_at_ms: now,
         body: "layout of rack R12".into(),
         deadline_ms: DEADLINE_MS,
+        resend: false,
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod owner;
 pub mod peer;
 pub mod policy;
+pub mod process;
 pub mod raft;
 pub mod settings;
 pub mod state;
--- a/src/wire/caller.rs
+++ b/src/wire/caller.rs
@@ -76,6 +76,10 @@
     pub body: String,
     /// How long the caller waits, in milliseconds.
     pub deadline_ms: u64,
+    /// Whether this key was sent before. A refusal without a look at the claim then ends with `unknown`, because an
+    /// earlier attempt may have run.
+    #[serde(default)]
+    pub resend: bool,
 }
 
 /// Answer to `POST /v1/dispatch`.
--- a/tests/entry/lease.rs
+++ b/tests/entry/lease.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     owners::Reply,
-    support::{Entry, control, now, set_label, until},
+    support::{Entry, control, dispatch, now, set_label, until},
 };
 
 /// Guards against work that starts without a confirmed configuration: before the first poll and after the lease.
@@ -24,6 +24,11 @@
         let not_run = (Kind::NoLease, Outcome::NotRun);
         assert_eq!(entry.query("name", 500).await.failure(), not_run);
         assert_eq!(entry.dispatch("job", now()).await.failure(), not_run);
+        let mut again = dispatch("job", now());
+        again["resend"] = true.into();
+        let again = entry.post("/v1/dispatch", "designer", again.to_string()).await;
+        let unknown = (Kind::NoLease, Outcome::Unknown);
+        assert_eq!(again.failure(), unknown, "an earlier attempt may have run");
         assert_eq!(entry.get("/v1/entries").await.failure(), not_run);
         assert_eq!(entry.get("/healthz").await.failure(), not_run);
     };
--- a/tests/invariants/support.rs
+++ b/tests/invariants/support.rs
@@ -189,6 +189,7 @@
         issued_at_ms: unix_ms(),
         body: format!("layout of {key}"),
         deadline_ms: DEADLINE_MS,
+        resend: false,
     }
 }
 
