Wait for the replaced identity in data_folder_lost, let workers be set

Right after the restart the membership still had three voters, the lost identity among them, so the wait ended at once and the kill left one of three voters. The refusal was correct; the wait was wrong. An entry host with a thread for each of ten cores moved work between them. Change: the wait asks that the lost identity has left the membership, which is stricter. Setting workers of entry hosts, 2 by default.

--- a/src/bin/gentianpass-entry.rs
+++ b/src/bin/gentianpass-entry.rs
@@ -2,15 +2,17 @@
 
 use std::process::ExitCode;
 
-use gentianpass::{entry, process};
+use gentianpass::{entry, process, settings};
 use tokio::{
-    runtime::Runtime,
+    runtime::Builder,
     signal::unix::{SignalKind, signal},
 };
 
 fn main() -> ExitCode {
-    process::main(|cfg| {
-        Runtime::new()?.block_on(async {
+    process::main(|cfg: settings::Entry| {
+        let workers = cfg.workers as usize;
+        let runtime = Builder::new_multi_thread().worker_threads(workers).enable_all().build()?;
+        runtime.block_on(async {
             let mut terminate = signal(SignalKind::terminate())?;
             let mut interrupt = signal(SignalKind::interrupt())?;
             let shutdown = async {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -247,6 +247,8 @@
     pub retry_percent: u64,
     /// How many queries run at once.
     pub max_queries: u64,
+    /// How many threads work on requests. Each one more costs CPU time per sub-request, because work moves between them.
+    pub workers: u64,
     /// Where spans go; no spans without it.
     pub trace_file: Option<PathBuf>,
     /// One request in this many is traced, unless its caller asks for it.
@@ -271,6 +273,7 @@
             hedge_percent: rdr.number("hedge_percent", 3, 0, 100),
             retry_percent: rdr.number("retry_percent", 5, 0, 100),
             max_queries: rdr.number("max_queries", 256, 1, 100_000),
+            workers: rdr.number("workers", 2, 1, 256),
             trace_file: rdr.optional("trace_file", "a file", None, |_| true),
             trace_one_in: rdr.number("trace_one_in", 1_000, 1, 1_000_000_000),
         }
--- a/tests/entry/support.rs
+++ b/tests/entry/support.rs
@@ -75,6 +75,7 @@
         hedge_percent: 3,
         retry_percent: 5,
         max_queries: 64,
+        workers: 2,
         trace_file: None,
         trace_one_in: 1,
     }
--- a/tests/invariants/config.rs
+++ b/tests/invariants/config.rs
@@ -109,11 +109,15 @@
     .await;
     world.fleet.operator.edit(close()).await.expect("accepted");
     let leader = world.leader().await;
+    let before = world.fleet.operator.state().await.expect("state").members;
+    let name = world.fleet.controls[leader].name.clone();
+    let lost = before.into_iter().find(|it| it.name == name).expect("a member").id;
     world.fleet.controls[leader].restart_empty().expect("restart");
-    until("the empty host is a voter", RECOVERY, async || {
+    until("the empty host has replaced its lost identity as a voter", RECOVERY, async || {
         let state = world.fleet.operator.state().await.ok()?;
         let voters = state.members.iter().filter(|it| it.role != "learner").count();
-        (state.members.len() == 3 && voters == 3).then_some(())
+        let replaced = state.members.iter().all(|it| it.id != lost);
+        (replaced && state.members.len() == 3 && voters == 3).then_some(())
     })
     .await;
     let second = (leader + 1) % 3;
--- a/tests/owner/host.rs
+++ b/tests/owner/host.rs
@@ -226,6 +226,7 @@
         hedge_percent: 3,
         retry_percent: 5,
         max_queries: 64,
+        workers: 2,
         trace_file: None::<PathBuf>,
         trace_one_in: 1_000,
     }
