Ask targets for their health in one place

Cause: the request and the reading of its answer stood three times in owner::conn: on a new connection, on an idle one and after a broken one. Change: ask_health; the comment of take_back names both of its callers. Conclusion: behaviour is unchanged.

--- a/src/owner/conn.rs
+++ b/src/owner/conn.rs
@@ -15,7 +15,7 @@
         batch::{Job, Work},
         exchange,
         guard::{Open, Slot},
-        link::{Answer, Fault, Link, Message},
+        link::{Fault, Link, Message},
         target::{Cancelling, Next, Target},
     },
     wire::target::{Cancel, Health},
@@ -70,8 +70,7 @@
 /// no work before it has announced itself.
 async fn connect(target: &Target) -> Option<Link> {
     let mut link = Link::open(target.addr).await.ok()?;
-    let answer = link.ask(Message::get("/v1/health"), target.shared.silence).await.ok()?;
-    let health = health(&answer)?;
+    let health = ask_health(&mut link, target.shared.silence).await.ok()??;
     target.report(health.incarnation, health.cold);
     let ready = link.ready(target.shared.silence).await;
     (ready && health.incarnation == target.incarnation).then_some(link)
@@ -135,9 +134,9 @@
 
     async fn ping(&mut self) -> bool {
         let silence = self.target.shared.silence;
-        match self.link.ask(Message::get("/v1/health"), silence).await {
-            Ok(answer) => {
-                if let Some(health) = health(&answer) {
+        match ask_health(&mut self.link, silence).await {
+            Ok(health) => {
+                if let Some(health) = health {
                     self.target.report(health.incarnation, health.cold);
                 }
                 self.link.ready(silence).await
@@ -230,10 +229,9 @@
                 Ok(link) => link,
                 Err(err) => return err.kind() == io::ErrorKind::ConnectionRefused,
             };
-            match link.ask(Message::get("/v1/health"), CRASH_CHECK_TIMEOUT).await {
-                Ok(answer) => {
-                    return health(&answer)
-                        .is_some_and(|it| it.incarnation != self.target.incarnation);
+            match ask_health(&mut link, CRASH_CHECK_TIMEOUT).await {
+                Ok(health) => {
+                    return health.is_some_and(|it| it.incarnation != self.target.incarnation);
                 }
                 Err(Fault::Timeout) => return false,
                 // Either the process is ending, or the target is at its connection limit.
@@ -244,11 +242,10 @@
     }
 }
 
-fn health((status, body): &Answer) -> Option<Health> {
-    if *status != StatusCode::OK {
-        return None;
-    }
-    serde_json::from_slice(body).ok()
+/// Asks a target for its health. `None` is an answer that says nothing.
+async fn ask_health(link: &mut Link, timeout: Duration) -> Result<Option<Health>, Fault> {
+    let (status, body) = link.ask(Message::get("/v1/health"), timeout).await?;
+    Ok((status == StatusCode::OK).then(|| serde_json::from_slice(&body).ok()).flatten())
 }
 
 /// The error kind of an exchange that has no complete answer.
--- a/src/owner/target.rs
+++ b/src/owner/target.rs
@@ -185,7 +185,7 @@
         self.pump(state);
     }
 
-    /// Takes a job back whose connection was closed before the send.
+    /// Takes a job back whose connection was closed before the send, or whose request the target no longer runs.
     pub fn take_back(self: &Arc<Self>, mut job: Job) {
         if job.resent {
             return self.reject(job, Kind::NoTarget);
