Count replicas once per version, look up the silence under the lock already held

Cause: the version choice of each query counted the replicas of each shard twice, and each sub-request took the lock of its target once more for the time after which its connection counts as silent. Ruled out: an early end at the first complete version; whether it has replicas to spare depends on the others. Change: pin::best keeps the counts; the queue hands the silence out with the job. Conclusion: behaviour is unchanged.

--- a/src/owner/conn.rs
+++ b/src/owner/conn.rs
@@ -16,7 +16,7 @@
         exchange,
         guard::{Open, Slot},
         link::{Fault, Link, Message},
-        target::{Cancelling, Next, Target},
+        target::{Cancelling, Next, Start, Target},
     },
     wire::target::{Cancel, Health},
 };
@@ -91,9 +91,9 @@
         let mut woken = false;
         loop {
             let usable = match self.target.next(&self.wake, self.epoch, woken) {
-                Next::Work(job, slot, id) => {
+                Next::Work(start) => {
                     woken = false;
-                    self.run(job, slot, id).await
+                    self.run(start).await
                 }
                 Next::Cancel(cancel) => {
                     woken = false;
@@ -160,7 +160,8 @@
     }
 
     /// Runs one job. False if the connection has to end.
-    async fn run(&mut self, job: Job, slot: Slot, id: u64) -> bool {
+    async fn run(&mut self, start: Start) -> bool {
+        let Start { job, slot, id, silence } = start;
         let target = self.target.clone();
         let shared = &target.shared;
         let started = std::time::Instant::now();
@@ -174,7 +175,7 @@
             target.reject(job, kind);
             return true;
         }
-        let silent_at = Instant::from_std(started + target.silence(&job));
+        let silent_at = Instant::from_std(started + silence);
         let deadline = Instant::from_std(deadline);
         let probing = AtomicBool::new(false);
         let probe = || target.probe(&job, id, self.epoch, &probing);
--- a/src/owner/target.rs
+++ b/src/owner/target.rs
@@ -25,7 +25,10 @@
     },
     policy::limit::{self, Step},
     state::TargetView,
-    wire::{operator::OwnedTarget, owner::Hint},
+    wire::{
+        operator::OwnedTarget,
+        owner::{Class, Hint},
+    },
 };
 
 /// All connections of a target are replaced at most once in this time, so that a slow target is not taken for silent
@@ -62,9 +65,18 @@
     }
 }
 
+/// A job that has passed the check before the send.
+pub(super) struct Start {
+    pub job: Job,
+    pub slot: Slot,
+    pub id: u64,
+    /// How long the exchange may carry no bytes.
+    pub silence: Duration,
+}
+
 /// What a connection does next.
 pub(super) enum Next {
-    Work(Job, Slot, u64),
+    Work(Start),
     Cancel(Cancelling),
     Park,
     Close,
@@ -112,8 +124,7 @@
         }
     }
 
-    /// The next thing to do on a connection. A job that is returned has passed the check before the send and holds a
-    /// slot.
+    /// The next thing to do on a connection.
     pub fn next(self: &Arc<Self>, worker: &Arc<Notify>, epoch: u64, woken: bool) -> Next {
         let now = Instant::now();
         let mut rejected = Vec::new();
@@ -158,7 +169,9 @@
                 continue;
             }
             state.in_flight += 1;
-            return Next::Work(job, Slot { target: self.clone(), pump: true }, id);
+            let silence = self.silence(state, job.class);
+            let slot = Slot { target: self.clone(), pump: true };
+            return Next::Work(Start { job, slot, id, silence });
         }
         let spare = state.limit.value() as usize + 1;
         if state.idle.len() >= spare || (state.closed.is_some() && state.in_flight == 0) {
@@ -225,8 +238,8 @@
     }
 
     /// How long an exchange may carry no bytes: the setting, or a multiple of the usual latency if that is longer.
-    pub fn silence(&self, job: &Job) -> Duration {
-        let usual = self.state.lock().limit.usual(job.class).unwrap_or_default();
+    fn silence(&self, state: &State, class: Class) -> Duration {
+        let usual = state.limit.usual(class).unwrap_or_default();
         self.shared.silence.max(usual.mul_f64(limit::COLD_FACTOR))
     }
 
--- a/src/policy/pin.rs
+++ b/src/policy/pin.rs
@@ -59,22 +59,26 @@
     usable: impl Fn(TargetKey) -> bool,
     accepts: impl Fn(&VersionView) -> bool,
 ) -> Option<Pin> {
-    let versions = || {
-        let in_use = |it: &&VersionView| !it.retired && !it.shards.is_empty() && accepts(it);
-        group.versions.iter().enumerate().filter(move |(_, it)| in_use(it))
-    };
+    let in_use = |it: &&VersionView| !it.retired && !it.shards.is_empty() && accepts(it);
     let weakest = |version: &VersionView| {
         let replicas = |it: &Vec<TargetKey>| it.iter().filter(|&&key| usable(key)).count();
         version.shards.iter().map(replicas).min().unwrap_or(0)
     };
-    let strongest = versions().map(|(_, it)| weakest(it)).max()?;
+    let versions: Vec<_> = group
+        .versions
+        .iter()
+        .enumerate()
+        .filter(|(_, it)| in_use(it))
+        .map(|(index, it)| (index, it, weakest(it)))
+        .collect();
+    let strongest = versions.iter().map(|it| it.2).max()?;
     if strongest > 0 {
-        let (index, version) = versions().find(|(_, it)| weakest(it) * 2 > strongest)?;
+        let (index, version, _) = versions.into_iter().find(|it| it.2 * 2 > strongest)?;
         let total = version.shards.len() as u32;
         return Some(Pin { index, number: version.number, covered: total, total });
     }
     let mut best: Option<Pin> = None;
-    for (index, version) in versions() {
+    for (index, version, _) in versions {
         let total = version.shards.len() as u32;
         let pin = Pin { index, number: version.number, covered: covered(version, &usable), total };
         if best.is_none_or(|it| pin.cmp_share(&it).is_gt()) {
