Share the synthetic hosts and targets of two examples

Cause: examples/slopes and examples/peers built the same hosts and targets and read the resident memory in the same way. Change: lab::synthetic. Conclusion: behaviour is unchanged.

--- a/examples/peers.rs
+++ b/examples/peers.rs
@@ -3,8 +3,6 @@
 //! configuration of the size to design for per peer (6 targets each).
 
 use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
     path::Path,
     sync::{
         Arc,
@@ -15,8 +13,11 @@
 
 use gentianpass::{
     control::Client,
-    lab::fleet::{Binaries, Fleet, HostPlan, Plan},
-    state::{Change, Holding, Node, Phase, Revision, Target},
+    lab::{
+        fleet::{Binaries, Fleet, HostPlan, Plan},
+        synthetic,
+    },
+    state::{Change, Revision},
     wire::control::{Poll, Update},
 };
 use parking_lot::Mutex;
@@ -58,9 +59,11 @@
     let client = Client::new(hosts.clone());
     until_elected(&client).await?;
     for i in 0..peers {
-        client.submit(None, Change::PutNode(node(i)), COMMIT_TIMEOUT).await?;
+        client.submit(None, Change::PutNode(synthetic::node(i, zone(i))), COMMIT_TIMEOUT).await?;
         for target in 0..TARGETS_PER_PEER {
-            let target = target_of(i, target, peers);
+            let number = i * TARGETS_PER_PEER + target;
+            let shards = (peers * TARGETS_PER_PEER) as u32;
+            let target = synthetic::target(number, zone(i), shards);
             client.submit(None, Change::PutTarget(target), COMMIT_TIMEOUT).await?;
         }
     }
@@ -97,7 +100,11 @@
         cpu.as_secs_f64() / seconds * 100.0,
         cpu.as_secs_f64() * 1e6 / polls.max(1) as f64,
         bytes as f64 / seconds / peers as f64,
-        fleet.controls.iter().map(|it| resident_kb(it.process.id())).collect::<Vec<_>>(),
+        fleet
+            .controls
+            .iter()
+            .map(|it| synthetic::resident_kib(it.process.id()))
+            .collect::<Vec<_>>(),
         changes.len(),
         slowest.as_secs_f64() * 1e3,
     );
@@ -118,7 +125,7 @@
 async fn poll(i: usize, client: Client, counts: Arc<Counts>) {
     let mut revision = 0;
     loop {
-        let node = node(i).name;
+        let node = synthetic::node(i, zone(i)).name;
         let poll = Poll { node, incarnation: 1, revision, wait_ms: POLL_WAIT_MS };
         let sent = bincode::serialized_size(&poll).unwrap_or(0);
         let Ok(update) = client.poll(poll).await else {
@@ -164,41 +171,6 @@
     fleet.controls.iter().map(|it| it.process.cpu_time()).sum()
 }
 
-fn node(i: usize) -> Node {
-    let addr = SocketAddr::from(([10, 0, (i >> 8) as u8, i as u8], 7000));
-    Node {
-        name: format!("entry-{i:04}"),
-        incarnation: 1,
-        http: addr,
-        rpc: addr,
-        zone: ZONES[i % ZONES.len()].into(),
-        leaving: false,
-    }
-}
-
-fn target_of(peer: usize, target: usize, peers: usize) -> Target {
-    let shard = (peer * TARGETS_PER_PEER + target) as u32;
-    Target {
-        name: format!("target-{shard:05}"),
-        incarnation: 1,
-        addr: SocketAddr::from(([10, 1, (shard >> 8) as u8, shard as u8], 7000)),
-        zone: ZONES[peer % ZONES.len()].into(),
-        labels: BTreeMap::from([("service".into(), "search".into())]),
-        slots: 6,
-        warm_up: 1,
-        connections: 50,
-        phase: Phase::Serving,
-        holdings: vec![Holding {
-            index: "search".into(),
-            version: 1,
-            shard,
-            shards: (peers * TARGETS_PER_PEER) as u32,
-        }],
-    }
-}
-
-fn resident_kb(pid: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:"));
-    line.and_then(|it| it.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+fn zone(peer: usize) -> String {
+    ZONES[peer % ZONES.len()].into()
 }
--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -1,13 +1,10 @@
 //! Measures what the control state costs an entry host at growing sizes: `cargo run --release --example slopes`.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
-use gentianpass::state::{
-    Change, Config, Group, Holding, Labels, Match, Node, Object, ObjectKind, Phase, Target, View,
+use gentianpass::{
+    lab::synthetic::{self, SERVICE},
+    state::{Change, Config, Group, Labels, Match, Object, ObjectKind, View},
 };
 
 const ZONES: usize = 21;
@@ -33,7 +30,7 @@
             bytes / targets,
             build.as_micros(),
             apply.as_micros(),
-            resident_kb(),
+            synthetic::resident_kib(std::process::id()),
         );
     }
 }
@@ -47,62 +44,25 @@
 }
 
 fn fill(targets: usize, nodes: usize) -> Config {
+    let shards = SHARDS.min(targets) as u32;
     let mut config = Config::default();
     let mut apply = |change: Change| drop(config.apply(&change, 0).expect("valid change"));
     for i in 0..nodes {
-        apply(Change::PutNode(node(i)));
+        apply(Change::PutNode(synthetic::node(i, zone(i))));
     }
     for i in 0..targets {
-        apply(Change::PutTarget(target(i, targets)));
+        apply(Change::PutTarget(synthetic::target(i, zone(i), shards)));
     }
-    let targets = Match(Labels::from([("service".into(), "search".into())]));
-    apply(Change::PutGroup(Group { name: "search".into(), index: "search".into(), targets }));
+    let targets = Match(Labels::from([("service".into(), SERVICE.into())]));
+    apply(Change::PutGroup(Group { name: SERVICE.into(), index: SERVICE.into(), targets }));
     config
 }
 
-fn node(i: usize) -> Node {
-    let addr = SocketAddr::from(([10, 0, (i >> 8) as u8, i as u8], 7000));
-    Node {
-        name: format!("entry-{i:04}"),
-        incarnation: 1,
-        http: addr,
-        rpc: addr,
-        zone: format!("zone-{}", i % ZONES),
-        leaving: false,
-    }
-}
-
-fn target(i: usize, targets: usize) -> Target {
-    let shards = SHARDS.min(targets) as u32;
-    Target {
-        name: format!("target-{i:05}"),
-        incarnation: 1,
-        addr: SocketAddr::from(([10, 1, (i >> 8) as u8, i as u8], 7000)),
-        zone: format!("zone-{}", i % ZONES),
-        labels: BTreeMap::from([("service".into(), "search".into())]),
-        slots: 6,
-        warm_up: 1,
-        connections: 50,
-        phase: Phase::Serving,
-        holdings: vec![Holding {
-            index: "search".into(),
-            version: 1,
-            shard: i as u32 % shards,
-            shards,
-        }],
-    }
+fn zone(number: usize) -> String {
+    format!("zone-{}", number % ZONES)
 }
 
 fn drain() -> Change {
     let object = Object::new(ObjectKind::Zone, "zone-0");
     Change::SetLabel { object, key: "drain".into(), value: "true".into() }
 }
-
-fn resident_kb() -> u64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    status
-        .lines()
-        .find_map(|it| it.strip_prefix("VmRSS:"))
-        .and_then(|it| it.trim().trim_end_matches(" kB").parse().ok())
-        .unwrap_or(0)
-}
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -15,4 +15,5 @@
 pub mod relay;
 pub mod shape;
 pub mod slope;
+pub mod synthetic;
 pub mod target;
