--- a/src/cmd/diff.rs
+++ b/src/cmd/diff.rs
@@ -136,6 +136,7 @@
                 (it.fingerprint, Suspect { targets, until_ms: it.until_ms })
             })
             .collect(),
+        routes: Default::default(),
     }
 }
 
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -15,7 +15,7 @@
     state::{Change, ChangeId, Reply, Revision},
     wire::{
         MAX_FRAME_BYTES,
-        control::{Poll, ServiceClient, Submit, Update},
+        control::{Poll, Seat, ServiceClient, Submit, Update},
     },
 };
 
@@ -69,6 +69,13 @@
         self.checked(host, answer)
     }
 
+    /// Asks where the control hosts are.
+    pub async fn members(&self) -> Result<Vec<Seat>> {
+        let (host, client) = self.connect().await?;
+        let answer = client.members(deadline(CALL_TIMEOUT)).await;
+        self.checked(host, answer.map(Ok))
+    }
+
     /// Commits a change and returns its reply, within `timeout`. An error means that the change may have been
     /// committed.
     pub async fn submit(
--- a/src/control/confirm.rs
+++ b/src/control/confirm.rs
@@ -22,8 +22,8 @@
 
 /// A read that waits for a confirmation, and the entry host that polled.
 pub struct Request {
-    /// The entry host, if the read is a poll.
-    pub heard: Option<Heard>,
+    /// The entry host, if the read is a poll, or targets that renewed their announcements.
+    pub heard: Vec<Heard>,
     /// Takes the index at which the read is not stale.
     pub tx: oneshot::Sender<Result<Index>>,
 }
@@ -32,7 +32,7 @@
 pub async fn run(host: Arc<Host>, mut rx: mpsc::Receiver<Request>) {
     let mut batch = Vec::new();
     while rx.recv_many(&mut batch, MAX_BATCH).await > 0 {
-        let heard = batch.iter_mut().filter_map(|it| it.heard.take());
+        let heard = batch.iter_mut().flat_map(|it| std::mem::take(&mut it.heard));
         let heard: BTreeSet<_> = heard.collect();
         let index = timeout(CONFIRM_TIMEOUT, confirm(&host, heard.into_iter().collect())).await;
         let index =
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -73,6 +73,7 @@
     pub(super) waiters: HashMap<ChangeId, Waiter>,
     pub(super) reads: HashMap<u64, Answer<Index>>,
     pub(super) liveness: Liveness,
+    pub(super) targets: Liveness,
     pub(super) due: super::upkeep::Due,
     /// The last term that this host led.
     pub(super) led: Term,
@@ -107,6 +108,7 @@
             waiters: HashMap::new(),
             reads: HashMap::new(),
             liveness: Liveness::default(),
+            targets: Liveness::default(),
             due: super::upkeep::Due::default(),
             led: 0,
             last_ms: 0,
@@ -211,6 +213,7 @@
     fn read(&mut self, heard: Vec<Heard>, answer: Answer<Index>) -> eyre::Result<()> {
         let now_ms = self.now_ms();
         for it in heard {
+            self.targets.hear(it.clone(), now_ms);
             self.liveness.hear(it, now_ms);
         }
         self.next_read += 1;
@@ -266,6 +269,7 @@
         let now_ms = self.now_ms();
         if now_ms > self.last_ms + self.host.cfg.election_ms {
             self.liveness.restart();
+            self.targets.restart();
         }
         self.last_ms = now_ms;
     }
--- a/src/control/history.rs
+++ b/src/control/history.rs
@@ -51,7 +51,7 @@
             );
             return Err(Error::new(Kind::TooLarge, message));
         }
-        Ok(Update::Config(Box::new(config.clone())))
+        Ok(Update::Config(Box::new(config.for_entry_hosts())))
     }
 
     fn changes_after(&self, polled: Revision) -> Vec<Applied> {
--- a/src/control/host.rs
+++ b/src/control/host.rs
@@ -25,7 +25,7 @@
     raft::{Index, MemberId, Membership, Role},
     settings,
     state::{Reply, Revision, Tables},
-    wire::control::{Heard, Identity, Poll, ServiceClient, Submit, Update},
+    wire::control::{Heard, Identity, Poll, Seat, ServiceClient, Submit, Update},
 };
 
 /// The longest wait of a poll.
@@ -42,7 +42,7 @@
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The longest change, in bytes. It must fit into a frame together with its envelope.
-const MAX_CHANGE_BYTES: u64 = 256 << 10;
+const MAX_CHANGE_BYTES: u64 = 512 << 10;
 
 /// What this host knows about the cluster.
 #[derive(Clone, Debug)]
@@ -120,7 +120,7 @@
 
     async fn poll_unmeasured(&self, poll: Poll) -> Result<Update> {
         let heard = Heard { node: poll.node, incarnation: poll.incarnation };
-        self.confirm(Some(heard)).await?;
+        self.confirm(vec![heard]).await?;
         let wait = Duration::from_millis(poll.wait_ms).min(MAX_POLL_WAIT);
         let mut revision = self.revision.subscribe();
         let newer = revision.wait_for(|it| *it != poll.revision);
@@ -130,12 +130,13 @@
     }
 
     /// Waits until this host has applied everything that was committed when the call started.
-    pub async fn confirm(&self, heard: Option<Heard>) -> Result<()> {
+    /// Passes on who was heard from.
+    pub async fn confirm(&self, heard: Vec<Heard>) -> Result<()> {
         let confirmed = timeout(CONFIRM_TIMEOUT, self.confirm_unlimited(heard)).await;
         confirmed.unwrap_or_else(|_| Err(Error::new(Kind::NoQuorum, "not confirmed in time")))
     }
 
-    async fn confirm_unlimited(&self, heard: Option<Heard>) -> Result<()> {
+    async fn confirm_unlimited(&self, heard: Vec<Heard>) -> Result<()> {
         let (tx, rx) = oneshot::channel();
         let request = confirm::Request { heard, tx };
         self.confirms.try_send(request).map_err(|_| overloaded())?;
@@ -214,6 +215,13 @@
         self.standing.borrow().clone()
     }
 
+    /// Where the control hosts are.
+    pub fn seats(&self) -> Vec<Seat> {
+        let standing = self.standing.borrow();
+        let members = standing.membership.members.values();
+        members.map(|it| Seat { zone: it.zone.clone(), rpc: it.rpc }).collect()
+    }
+
     /// Who this host is.
     pub fn identity(&self) -> Identity {
         Identity {
--- a/src/control/http.rs
+++ b/src/control/http.rs
@@ -126,7 +126,7 @@
 
 /// The state, confirmed by a quorum after the request arrived.
 async fn current(host: &Host) -> Result<operator::State, Error> {
-    host.confirm(None).await?;
+    host.confirm(Vec::new()).await?;
     let members = members(host);
     Ok(host.read(|tables| operator::State::new(&tables.config, members)))
 }
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -53,7 +53,7 @@
         let changed = config.revision != before;
         if changed {
             let (revision, at_ms) = (config.revision, config.now_ms);
-            self.history.push(Applied { revision, at_ms, change: entry.change.clone() });
+            self.history.push(Applied { revision, at_ms, change: entry.change.for_entry_hosts() });
         }
         Ok(Some(Outcome { entry, reply, changed }))
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 mod confirm;
 mod driver;
+mod follow;
 mod history;
 mod host;
 mod http;
@@ -13,10 +14,14 @@
 mod metrics;
 mod peer;
 mod perform;
+mod registry;
 mod repair;
 mod rpc;
 mod run;
 mod upkeep;
 
 pub use client::Client;
-pub use run::run;
+pub use follow::{Confirmed, Follower, update};
+pub use host::{Host, Standing};
+pub use registry::Registry;
+pub use run::{run, serve};
--- a/src/control/perform.rs
+++ b/src/control/perform.rs
@@ -170,6 +170,7 @@
         if self.core.role() == Role::Leader && self.led != term {
             self.led = term;
             self.liveness.restart();
+            self.targets.restart();
             self.record(event::Kind::Election, format!("became leader of term {term}"));
         }
         if self.core.role() != Role::Leader && old == Role::Leader {
--- a/src/control/repair.rs
+++ b/src/control/repair.rs
@@ -28,8 +28,14 @@
     if let Some(id) = replaced.into_iter().find(|it| status.membership.is_voter(*it)) {
         return Some(MemberChange::Demote(id));
     }
+    let superseded = |id: &MemberId| {
+        let rpc = members[id].rpc;
+        members.iter().any(|(other, it)| other != id && it.rpc == rpc)
+    };
     let silent = |id: &MemberId| silence(id) >= repair_after_ms;
-    if let Some((dead, voter)) = members.iter().find(|(id, it)| it.voter && silent(id)) {
+    // A process with another identity at the address of a voter has an empty disk: the voter cannot come back.
+    let lost = |id: &MemberId| silent(id) || (superseded(id) && silence(id) >= LEARNER_ALIVE_MS);
+    if let Some((dead, voter)) = members.iter().find(|(id, it)| it.voter && lost(id)) {
         let caught_up = |id: &MemberId| {
             let matched = status.members.get(id).map_or(0, |it| it.matched);
             matched + MAX_LAG_ENTRIES >= status.last && silence(id) < LEARNER_ALIVE_MS
@@ -40,10 +46,6 @@
             return Some(MemberChange::Promote { id: *id, replaces: *dead });
         }
     }
-    let superseded = |id: &MemberId| {
-        let rpc = members[id].rpc;
-        members.iter().any(|(other, it)| other != id && it.rpc == rpc)
-    };
     let old = members.iter().find(|(id, it)| !it.voter && silent(id) && superseded(id));
     old.map(|(id, _)| MemberChange::Remove(*id))
 }
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -22,7 +22,8 @@
     wire::{
         MAX_FRAME_BYTES,
         control::{
-            Heard, Identity, Joined, Poll, Service, ServiceRequest, ServiceResponse, Submit, Update,
+            Heard, Identity, Joined, Poll, Seat, Service, ServiceRequest, ServiceResponse, Submit,
+            Update,
         },
     },
 };
@@ -53,6 +54,10 @@
         self.host.submit(submit).await
     }
 
+    async fn members(self, _: Context) -> Vec<Seat> {
+        self.host.seats()
+    }
+
     async fn identity(self, _: Context) -> Identity {
         self.host.identity()
     }
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -36,12 +36,16 @@
 /// Runs a control host until SIGTERM or SIGINT.
 pub fn run(cfg: settings::Control) -> eyre::Result<()> {
     let runtime = Runtime::new()?;
-    let result = runtime.block_on(serve(cfg));
+    let result = runtime.block_on(serve(cfg, async |_| std::future::pending().await));
     runtime.shutdown_background();
     result
 }
 
-async fn serve(cfg: settings::Control) -> eyre::Result<()> {
+/// Runs a control host until SIGTERM or SIGINT, or until an interface of another protocol ends with an error.
+pub async fn serve(
+    cfg: settings::Control,
+    interface: impl AsyncFnOnce(Arc<Host>) -> eyre::Result<()>,
+) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let (listen_http, listen_rpc) = (cfg.listen_http, cfg.listen_rpc);
@@ -66,6 +70,7 @@
         it = &mut rpc => it?.wrap_err_with(|| format!("listener {listen_rpc}"))?,
         it = &mut http => it?.wrap_err_with(|| format!("listener {listen_http}"))?,
         it = &mut driver => return it.unwrap_or_else(|_| Err(eyre::eyre!("consensus thread"))),
+        it = interface(host.clone()) => it.wrap_err("interface")?,
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -4,7 +4,7 @@
     control::{driver::Driver, repair},
     event,
     raft::{Event, MemberChange, Role},
-    state::Change,
+    state::{Change, Phase},
     wire::control::Heard,
 };
 
@@ -15,6 +15,8 @@
 /// A leader with a full disk hands over this often; each time costs an election.
 const HANDOVER_INTERVAL_MS: u64 = 10_000;
 const METRICS_INTERVAL_MS: u64 = 1_000;
+/// A target that left is forgotten after this many times the silence that removes one that serves.
+const LEFT_TARGET_EXPIRIES: u64 = 6;
 
 /// When each task is due.
 #[derive(Default)]
@@ -36,6 +38,10 @@
     due
 }
 
+fn heard(name: &str, incarnation: u64) -> Heard {
+    Heard { node: name.to_owned(), incarnation }
+}
+
 impl Driver {
     pub(super) fn keep_up(&mut self) -> eyre::Result<()> {
         let now_ms = self.now_ms();
@@ -54,6 +60,7 @@
         }
         if due(&mut self.due.liveness, now_ms, LIVENESS_INTERVAL_MS) && !self.log.is_full() {
             self.expire_nodes(now_ms)?;
+            self.expire_targets(now_ms)?;
         }
         if due(&mut self.due.clock, now_ms, CLOCK_INTERVAL_MS) && !self.log.is_full() {
             self.propose_own(Change::Tick)?;
@@ -85,12 +92,12 @@
     }
 
     fn expire_nodes(&mut self, now_ms: u64) -> eyre::Result<()> {
-        let heard = |name: &String, incarnation| Heard { node: name.clone(), incarnation };
-        let nodes = self.host.read(|it| {
-            it.config.nodes.values().map(|it| heard(&it.name, it.incarnation)).collect()
-        });
         let expiry_ms = self.host.cfg.node_expiry_ms;
-        for Heard { node, incarnation } in self.liveness.expired(now_ms, expiry_ms, nodes) {
+        let known = self.host.read(|it| {
+            let nodes = it.config.nodes.values();
+            nodes.map(|it| (heard(&it.name, it.incarnation), expiry_ms)).collect()
+        });
+        for Heard { node, incarnation } in self.liveness.expired(now_ms, known) {
             let cause = format!("node {node} sent no poll for {expiry_ms} ms");
             self.record(event::Kind::NodeRemoved, cause);
             self.propose_own(Change::RemoveNode { name: node, incarnation })?;
@@ -98,6 +105,26 @@
         Ok(())
     }
 
+    /// Removes targets whose announcements nobody renews. Those that left stay known longer, so that an announcement
+    /// which was under way for long does not bring them back.
+    fn expire_targets(&mut self, now_ms: u64) -> eyre::Result<()> {
+        let Some(expiry_ms) = self.host.cfg.target_expiry_ms else { return Ok(()) };
+        let allowed = |phase| match phase {
+            Phase::Serving => expiry_ms,
+            Phase::Leaving => expiry_ms * LEFT_TARGET_EXPIRIES,
+        };
+        let known = self.host.read(|it| {
+            let targets = it.config.targets.values();
+            targets.map(|it| (heard(&it.name, it.incarnation), allowed(it.phase))).collect()
+        });
+        for Heard { node: name, incarnation } in self.targets.expired(now_ms, known) {
+            let event = event::Event::new(event::Kind::TargetRemoved, "no renewal in time");
+            self.host.events.record(event.target(&name));
+            self.propose_own(Change::RemoveTarget { name, incarnation })?;
+        }
+        Ok(())
+    }
+
     fn repair(&mut self, now_ms: u64) -> eyre::Result<()> {
         let status = self.core.status();
         let own = self.core.id();
--- a/src/lab/control.rs
+++ b/src/lab/control.rs
@@ -16,7 +16,7 @@
     state::Reply,
     wire::{
         MAX_FRAME_BYTES,
-        control::{Heard, Identity, Joined, Poll, Service, Submit, Update},
+        control::{Heard, Identity, Joined, Poll, Seat, Service, Submit, Update},
     },
 };
 
@@ -56,6 +56,10 @@
         self.0.submit(submit).await
     }
 
+    async fn members(self, _: Context) -> Vec<Seat> {
+        Vec::new()
+    }
+
     async fn identity(self, _: Context) -> Identity {
         Identity {
             id: Default::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod policy;
 pub mod process;
 pub mod raft;
+pub mod relay;
+pub mod route;
 pub mod settings;
 pub mod state;
 pub mod store;
--- a/src/process.rs
+++ b/src/process.rs
@@ -1,6 +1,11 @@
 //! What the processes have in common: arguments, logs, checked settings and the exit code.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    io::{self, Write},
+    path::PathBuf,
+    process::ExitCode,
+    sync::mpsc::{SyncSender, sync_channel},
+};
 
 use clap::Parser;
 
@@ -37,7 +42,55 @@
         println!("{}: ok", args.settings.display());
         return ExitCode::SUCCESS;
     }
-    match run(cfg) {
+    exit_code(run(cfg))
+}
+
+/// How many lines of the log wait for standard output; more are dropped and counted.
+const QUEUED_LINES: usize = 1_024;
+
+/// Hands lines of the log to a thread that writes them, so that no task waits for standard output.
+struct Lines {
+    tx: SyncSender<Vec<u8>>,
+    dropped: u64,
+}
+
+impl Write for Lines {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if self.dropped > 0 {
+            let note = format!("event=log_dropped lines={}\n", self.dropped);
+            if self.tx.try_send(note.into_bytes()).is_ok() {
+                self.dropped = 0;
+            }
+        }
+        if self.tx.try_send(line.to_vec()).is_err() {
+            self.dropped += 1;
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes the log to standard output without ever waiting for it.
+pub fn log_to_stdout() {
+    let (tx, rx) = sync_channel::<Vec<u8>>(QUEUED_LINES);
+    std::thread::spawn(move || {
+        let mut out = io::stdout().lock();
+        // Nobody reads the log if standard output is closed.
+        while let Ok(line) = rx.recv()
+            && out.write_all(&line).and_then(|()| out.flush()).is_ok()
+        {}
+    });
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(event::LOG_FILTER))
+        .target(env_logger::Target::Pipe(Box::new(Lines { tx, dropped: 0 })))
+        .init();
+}
+
+/// The exit code of a process, after an error was logged.
+pub fn exit_code(result: eyre::Result<()>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             log::error!("event=failed cause={:?}", format!("{err:#}"));
--- /dev/null
+++ b/src/relay/front.rs
@@ -0,0 +1,105 @@
+//! The listener for callers.
+
+use std::{
+    convert::Infallible,
+    io,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::relay::{host::Host, reply, request};
+
+/// The pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// The smallest buffer that the HTTP library takes, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+
+/// Counts a request while it runs.
+struct Counted<'a>(&'a Host);
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Accepts connections until it is dropped. Connections that are open go on.
+pub(super) async fn serve(host: Arc<Host>, listener: TcpListener) -> io::Result<()> {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(tokio::spawn(connection(host.clone(), stream))),
+            Err(err) => {
+                log::warn!("event=accept_failed cause={err:?}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(host: Arc<Host>, stream: TcpStream) {
+    if let Err(err) = stream.set_nodelay(true) {
+        log::debug!("event=connection_ended cause={err:?}");
+        return;
+    }
+    let limits = host.view().limits.clone();
+    let buffer = usize::try_from(limits.header_bytes).unwrap_or(usize::MAX).max(MIN_BUFFER_BYTES);
+    let service = service_fn(|request| handle(&host, request));
+    // The time for a header section counts from the end of the last answer, so it covers the idle time too.
+    let conn = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_ms + limits.header_ms))
+        .max_buf_size(buffer)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(conn);
+    let closing = host.closing.notified();
+    tokio::pin!(closing);
+    let ended = tokio::select! {
+        ended = conn.as_mut() => ended,
+        () = &mut closing => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    if let Err(err) = ended {
+        log::debug!("event=connection_ended cause={err:?}");
+    }
+}
+
+async fn handle(
+    host: &Arc<Host>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    host.running.fetch_add(1, Ordering::Relaxed);
+    let _counted = Counted(host);
+    let (head, body) = request.into_parts();
+    let limit = usize::try_from(host.view().limits.body_bytes).unwrap_or(usize::MAX);
+    if body.is_end_stream() {
+        return Ok(request::answer(host, head, Bytes::new()).await);
+    }
+    let body = match Limited::new(body, limit).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(err) => {
+            let too_long = err.downcast_ref::<LengthLimitError>().is_some();
+            let (status, cause) = if too_long {
+                (StatusCode::PAYLOAD_TOO_LARGE, "body_too_long")
+            } else {
+                (StatusCode::BAD_REQUEST, "body_incomplete")
+            };
+            log::info!("event=refused status={} cause={cause}", status.as_u16());
+            return Ok(reply::plain(status, cause, Duration::ZERO));
+        }
+    };
+    Ok(request::answer(host, head, body).await)
+}
--- /dev/null
+++ b/src/relay/host.rs
@@ -0,0 +1,106 @@
+//! What all parts of a relay's process share.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicUsize, Ordering},
+};
+
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::Notify;
+
+use crate::{
+    event::{Event, Kind, Ring, unix_ms},
+    metric,
+    relay::{
+        metrics::Metrics,
+        settings::Settings,
+        view::{Builder, View},
+    },
+    state::{Config, Node},
+};
+
+/// A relay.
+pub struct Host {
+    pub(super) cfg: Arc<Settings>,
+    pub(super) incarnation: u64,
+    pub(super) events: Ring,
+    pub(super) metrics: Metrics,
+    pub(super) poll_now: Notify,
+    /// Tells connections of callers that they should end.
+    pub(super) closing: Notify,
+    registry: metric::Registry,
+    builder: Mutex<Builder>,
+    view: RwLock<Arc<View>>,
+    leaving: AtomicBool,
+    /// How many requests run.
+    pub(super) running: AtomicUsize,
+}
+
+impl Host {
+    pub(super) fn new(cfg: Settings) -> Self {
+        let cfg = Arc::new(cfg);
+        let registry = metric::Registry::default();
+        Self {
+            incarnation: unix_ms(),
+            events: Ring::new(cfg.name.clone()),
+            metrics: Metrics::new(&registry),
+            poll_now: Notify::new(),
+            closing: Notify::new(),
+            registry,
+            builder: Mutex::new(Builder::new(cfg.clone())),
+            view: RwLock::default(),
+            leaving: AtomicBool::new(false),
+            running: AtomicUsize::new(0),
+            cfg,
+        }
+    }
+
+    /// Whether requests can be routed and the process does not stop.
+    pub fn is_ready(&self) -> bool {
+        self.view().version > 0 && !self.is_leaving()
+    }
+
+    /// The metrics in the text format.
+    pub fn metrics(&self) -> String {
+        self.registry.render()
+    }
+
+    pub(super) fn view(&self) -> Arc<View> {
+        self.view.read().clone()
+    }
+
+    /// Puts a configuration in force. One that is older than the one in force is ignored.
+    pub(super) fn apply(&self, config: &Config, cause: &str) {
+        if config.revision < self.view().revision {
+            log::warn!(
+                "event=config_ignored revision={} in_force={}",
+                config.revision,
+                self.view().revision
+            );
+            return;
+        }
+        let view = self.builder.lock().build(config);
+        *self.view.write() = Arc::new(view);
+        self.events.record(Event::new(Kind::ConfigApplied, cause));
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// This host as the control state shows it.
+    pub(super) fn node(&self) -> Node {
+        Node {
+            name: self.cfg.name.clone(),
+            incarnation: self.incarnation,
+            http: self.cfg.listen,
+            rpc: self.cfg.listen,
+            zone: self.cfg.zone.clone(),
+            leaving: self.is_leaving(),
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/metrics.rs
@@ -0,0 +1,79 @@
+//! Counters and histograms of a relay.
+
+use std::time::Duration;
+
+use prometheus::{HistogramVec, IntCounterVec};
+
+use crate::{
+    metric::Registry,
+    relay::{exchange::Outcome, request::Query},
+};
+
+/// The metrics of a relay.
+pub(super) struct Metrics {
+    answers: IntCounterVec,
+    answer_time: HistogramVec,
+    exchanges: IntCounterVec,
+    exchange_time: HistogramVec,
+    /// Repeated sub-requests by cause.
+    pub(super) repeats: IntCounterVec,
+    /// New connections to targets.
+    pub(super) connections: IntCounterVec,
+}
+
+impl Metrics {
+    pub(super) fn new(registry: &Registry) -> Self {
+        let counter =
+            |name: &str, help: &str, labels: &[&str]| registry.counter(name, help, labels);
+        Self {
+            answers: counter(
+                "gentianpass_relay_answers_total",
+                "Answers to callers",
+                &["route", "outcome"],
+            ),
+            answer_time: registry.duration(
+                "gentianpass_relay_answer_seconds",
+                "Time from a request's arrival to its answer",
+                &["route"],
+            ),
+            exchanges: counter(
+                "gentianpass_relay_exchanges_total",
+                "Exchanges with targets",
+                &["outcome"],
+            ),
+            exchange_time: registry.duration(
+                "gentianpass_relay_exchange_seconds",
+                "Time of an exchange with a target",
+                &["outcome"],
+            ),
+            repeats: counter(
+                "gentianpass_relay_repeats_total",
+                "Sub-requests sent to another target",
+                &["cause"],
+            ),
+            connections: counter(
+                "gentianpass_relay_connections_total",
+                "New connections to targets",
+                &[],
+            ),
+        }
+    }
+
+    pub(super) fn answer(&self, query: &Query, outcome: &str) {
+        let route = query.path().route.name.as_str();
+        self.answers.with_label_values(&[route, outcome]).inc();
+        let took_s = query.arrived.elapsed().as_secs_f64();
+        self.answer_time.with_label_values(&[route]).observe(took_s);
+    }
+
+    pub(super) fn exchange(&self, outcome: &Outcome, took: Duration) {
+        let label = match outcome {
+            Outcome::Answered(it) if it.status.is_server_error() => "failed",
+            Outcome::Answered(_) => "answered",
+            Outcome::NotRun(it) => (*it).into(),
+            Outcome::Unknown(it) => (*it).into(),
+        };
+        self.exchanges.with_label_values(&[label]).inc();
+        self.exchange_time.with_label_values(&[label]).observe(took.as_secs_f64());
+    }
+}
--- /dev/null
+++ b/src/relay/mod.rs
@@ -0,0 +1,33 @@
+//! Passes callers' requests on to targets by a table of routes: one target, or one target of each shard.
+//!
+//! Laid out by life span: `front`, `request`, `gather` and `call` live for a request, `exchange` and `pool` for a
+//! connection, `view` for a version, the rest for the process. Locks are leaves: none is taken while another is held,
+//! and none is held over an await.
+
+mod call;
+mod choice;
+mod directory;
+mod exchange;
+mod follow;
+mod front;
+mod gather;
+mod host;
+mod metrics;
+mod pool;
+mod reply;
+mod request;
+mod run;
+mod settings;
+mod stop;
+mod target;
+mod typical;
+mod view;
+
+pub use choice::{Observed, Standing};
+pub use directory::Asker;
+pub use gather::merge;
+pub use host::Host;
+pub use run::{run, start};
+pub use settings::{Headers, Settings};
+pub use typical::Typical;
+pub use view::SERVICE_LABEL;
--- /dev/null
+++ b/src/relay/request.rs
@@ -0,0 +1,177 @@
+//! A caller's request: its route, its deadline, and what is sent to targets for it.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    HeaderMap, Method, Response, StatusCode, Uri,
+    header::{EXPECT, HOST, HeaderValue},
+    http::request::Parts,
+};
+use rand::RngExt;
+use tokio::time::timeout_at;
+
+use crate::{
+    relay::{
+        call,
+        exchange::{Leash, Outgoing},
+        gather,
+        host::Host,
+        reply::{self, Refusal},
+        settings::Headers,
+        target::Target,
+        view::{Path, ServiceKey, View},
+    },
+    route::{Part, To},
+};
+
+/// The part of the objective that is left for the way of the answer back to the caller.
+const RETURN_DIVISOR: u32 = 10;
+
+/// The time that is left for the way of the last answer back to the caller.
+const RETURN: Duration = Duration::from_millis(10);
+
+/// A request with its route and its times.
+pub(super) struct Query {
+    pub(super) view: Arc<View>,
+    path: usize,
+    pub(super) request_id: Option<HeaderValue>,
+    pub(super) arrived: Instant,
+    /// When an answer that covers enough shards should leave.
+    pub(super) stop_at: Instant,
+    /// When the last answer must leave.
+    pub(super) give_up: Instant,
+    /// When the caller or the route gives up.
+    deadline: Instant,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) leash: Arc<Leash>,
+}
+
+impl Query {
+    /// The route.
+    pub(super) fn path(&self) -> &Path {
+        &self.view.paths[self.path]
+    }
+
+    /// The id of the request, for the log.
+    pub(super) fn id(&self) -> &str {
+        self.request_id.as_ref().and_then(|it| it.to_str().ok()).unwrap_or("-")
+    }
+
+    /// The time within which an answer has its full worth.
+    pub(super) fn objective(&self) -> Duration {
+        let route = &self.path().route;
+        Duration::from_millis(route.objective_ms.min(route.timeout_ms))
+    }
+
+    /// Whether an answer would leave too late for its full worth.
+    pub(super) fn is_late(&self, now: Instant) -> bool {
+        now > self.arrived + self.objective()
+    }
+
+    /// The request as one target gets it.
+    pub(super) fn to_target(&self, names: &Headers, target: &Target) -> Outgoing {
+        let mut request = Outgoing::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let headers = request.headers_mut();
+        headers.insert(names.deadline.clone(), HeaderValue::from(left.as_millis() as u64));
+        if let Ok(name) = HeaderValue::from_str(&target.name) {
+            headers.insert(names.expected.clone(), name);
+        }
+        request
+    }
+}
+
+/// Answers a request whose body has arrived.
+pub(super) async fn answer(host: &Arc<Host>, head: Parts, body: Bytes) -> Response<Full<Bytes>> {
+    let view = host.view();
+    if view.version == 0 {
+        return reply::not_ready("no_routes");
+    }
+    let query = match resolve(host, view, head, body) {
+        Ok(query) => Arc::new(query),
+        Err(cause) => return reply::plain(StatusCode::NOT_FOUND, cause, Duration::ZERO),
+    };
+    match &query.path().route.to {
+        To::Shards(shards) => gather::run(host, &query, shards).await,
+        To::Service(_) => single(host, &query, query.path().to[0]).await,
+        To::Split(parts) => single(host, &query, split(&query, parts)).await,
+    }
+}
+
+/// Chooses a part of a split by weight.
+fn split(query: &Query, parts: &[Part]) -> ServiceKey {
+    let total: u64 = parts.iter().map(|it| it.weight).sum();
+    let mut left = rand::rng().random_range(0..total.max(1));
+    let chosen = parts.iter().position(|it| match left.checked_sub(it.weight) {
+        Some(rest) => {
+            left = rest;
+            false
+        }
+        None => true,
+    });
+    query.path().to[chosen.unwrap_or(0)]
+}
+
+async fn single(host: &Arc<Host>, query: &Arc<Query>, key: ServiceKey) -> Response<Full<Bytes>> {
+    let ended = timeout_at(query.give_up.into(), call::call(host, query, key)).await;
+    query.leash.release();
+    let refusal = match ended {
+        Ok(Ok(answer)) => {
+            host.metrics.answer(query, "full");
+            return reply::pass_on(host, query, answer);
+        }
+        Ok(Err(failure)) => match failure.answer {
+            Some(answer) => {
+                host.metrics.answer(query, "target_failed");
+                return reply::pass_on(host, query, answer);
+            }
+            None => Refusal::new(false, failure.ran, failure.cause),
+        },
+        Err(_) => Refusal::new(true, true, "timeout"),
+    };
+    host.metrics.answer(query, "refused");
+    reply::refuse(host, query, &refusal)
+}
+
+fn resolve(host: &Host, view: Arc<View>, head: Parts, body: Bytes) -> Result<Query, &'static str> {
+    let Parts { method, uri, mut headers, .. } = head;
+    let arrived = Instant::now();
+    let authority = uri.authority().map(|it| it.as_str().to_owned());
+    let named = headers.get(HOST).and_then(|it| it.to_str().ok()).map(str::to_owned);
+    let Some(name) = named.or(authority) else { return Err("no_host") };
+    let Some(path) = view.index.find(&name, uri.path()) else { return Err("no_route") };
+    let names = &host.cfg.headers;
+    let route = &view.paths[path].route;
+    let limit = Duration::from_millis(route.timeout_ms);
+    let asked = headers.get(&names.deadline).and_then(|it| it.to_str().ok()?.parse().ok());
+    let left = asked.map_or(limit, |it| Duration::from_millis(it).min(limit));
+    let objective = Duration::from_millis(route.objective_ms).min(left);
+    reply::strip(&mut headers);
+    headers.remove(EXPECT);
+    let uri = uri.path_and_query().map_or(Uri::from_static("/"), |it| Uri::from(it.clone()));
+    Ok(Query {
+        path,
+        request_id: headers.get(&names.request_id).cloned(),
+        arrived,
+        stop_at: arrived + objective - objective / RETURN_DIVISOR,
+        give_up: arrived + left.saturating_sub(RETURN),
+        deadline: arrived + left,
+        method,
+        uri,
+        headers,
+        body,
+        leash: Arc::default(),
+        view,
+    })
+}
--- /dev/null
+++ b/src/relay/run.rs
@@ -0,0 +1,40 @@
+//! Start and stop of a relay.
+
+use std::sync::Arc;
+
+use eyre::WrapErr;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+};
+
+use crate::{
+    event::{Event, Kind},
+    relay::{follow::Control, front, host::Host, settings::Settings, stop},
+};
+
+/// Makes a relay that is not running yet.
+pub fn start(cfg: Settings) -> Arc<Host> {
+    Arc::new(Host::new(cfg))
+}
+
+/// Runs a relay until SIGTERM or SIGINT.
+pub async fn run(host: Arc<Host>) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let listen = host.cfg.listen;
+    let listener =
+        TcpListener::bind(listen).await.wrap_err_with(|| format!("listener {listen}"))?;
+    host.events.record(Event::new(Kind::Started, format!("callers {listen}")));
+    let control = Control::new(host.clone());
+    let follow = tokio::spawn(async move { control.run().await });
+    let front = tokio::spawn(front::serve(host.clone(), listener));
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    stop::run(&host).await;
+    front.abort();
+    follow.abort();
+    Ok(())
+}
--- /dev/null
+++ b/src/relay/target.rs
@@ -0,0 +1,55 @@
+//! A process of a target, as this host knows it.
+
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+
+use crate::{
+    relay::{choice::Standing, pool::Pool},
+    state,
+};
+
+/// The round trip to a target that was not connected yet, by how far it is.
+const NEAR: Duration = Duration::from_millis(1);
+const FAR: Duration = Duration::from_millis(16);
+
+/// A process of a target.
+pub(super) struct Target {
+    pub(super) name: String,
+    pub(super) zone: String,
+    pub(super) region: String,
+    pub(super) slots: u32,
+    pub(super) pool: Pool,
+    pub(super) standing: Mutex<Standing>,
+    usable: AtomicBool,
+}
+
+impl Target {
+    pub(super) fn new(target: &state::Target, region: &str, own_region: &str) -> Self {
+        let round_trip = if region == own_region { NEAR } else { FAR };
+        Self {
+            name: target.name.clone(),
+            zone: target.zone.clone(),
+            region: region.to_owned(),
+            slots: target.slots,
+            pool: Pool::new(target.addr, round_trip),
+            standing: Mutex::new(Standing::new(Instant::now())),
+            usable: AtomicBool::new(false),
+        }
+    }
+
+    /// Whether new work may go there.
+    pub(super) fn is_usable(&self) -> bool {
+        self.usable.load(Ordering::Relaxed)
+    }
+
+    /// Allows or forbids new work. Connections to a target that gets none are closed.
+    pub(super) fn set_usable(&self, usable: bool) {
+        if self.usable.swap(usable, Ordering::Relaxed) && !usable {
+            self.pool.renew();
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/view.rs
@@ -0,0 +1,159 @@
+//! The routing view of one revision.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+
+use crate::{
+    policy::budget::Budget,
+    relay::{settings::Settings, target::Target, typical::Typical},
+    route,
+    state::{Config, Node, ObjectKind, Phase},
+};
+
+/// The label of a target that names its service.
+pub const SERVICE_LABEL: &str = "service";
+
+/// The part of a target's connections that all hosts together use.
+const CONNECTION_SHARE: f64 = 0.9;
+
+/// A service of a view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct ServiceKey(usize);
+
+/// A service and the targets that may get new work.
+pub(super) struct Service {
+    pub(super) name: String,
+    pub(super) targets: Vec<Arc<Target>>,
+    /// How many sub-requests this host may have running at one target.
+    pub(super) connections: usize,
+    pub(super) repeats: Arc<Mutex<Budget>>,
+}
+
+/// A route, resolved.
+pub(super) struct Path {
+    pub(super) route: route::Route,
+    pub(super) to: Vec<ServiceKey>,
+    pub(super) typical: Arc<Mutex<Typical>>,
+}
+
+/// Everything that routing needs at one revision.
+#[derive(Default)]
+pub(super) struct View {
+    pub(super) revision: u64,
+    pub(super) version: u64,
+    pub(super) limits: route::Limits,
+    pub(super) paths: Vec<Path>,
+    pub(super) index: route::Index,
+    pub(super) nodes: Vec<Node>,
+    services: Vec<Service>,
+}
+
+impl View {
+    pub(super) fn service(&self, key: ServiceKey) -> &Service {
+        &self.services[key.0]
+    }
+}
+
+/// What outlives a view: targets with their connections, budgets and usual times.
+pub(super) struct Builder {
+    cfg: Arc<Settings>,
+    targets: HashMap<(String, u64), Arc<Target>>,
+    repeats: HashMap<String, Arc<Mutex<Budget>>>,
+    typical: HashMap<String, Arc<Mutex<Typical>>>,
+}
+
+impl Builder {
+    pub(super) fn new(cfg: Arc<Settings>) -> Self {
+        Self { cfg, targets: HashMap::new(), repeats: HashMap::new(), typical: HashMap::new() }
+    }
+
+    /// Makes the view of a configuration. Targets that are not in it get no new work from now on.
+    pub(super) fn build(&mut self, config: &Config) -> View {
+        let by_service = self.take_targets(config);
+        let table = &config.routes;
+        let nodes: Vec<_> = config.nodes.values().cloned().collect();
+        let mut services = Vec::new();
+        let mut keys = HashMap::new();
+        for (name, settings) in &table.services {
+            keys.insert(name.as_str(), ServiceKey(services.len()));
+            services.push(Service {
+                name: name.clone(),
+                targets: by_service.get(name.as_str()).cloned().unwrap_or_default(),
+                connections: connections(settings.max_connections, nodes.len()),
+                repeats: self.budget(name, nodes.len()),
+            });
+        }
+        let paths = table.routes.iter().map(|route| Path {
+            to: route.services().filter_map(|it| keys.get(it).copied()).collect(),
+            typical: self.typical(route),
+            route: route.clone(),
+        });
+        View {
+            revision: config.revision,
+            version: table.version,
+            limits: table.limits.clone(),
+            paths: paths.collect(),
+            index: route::Index::new(table),
+            nodes,
+            services,
+        }
+    }
+
+    fn take_targets(&mut self, config: &Config) -> BTreeMap<String, Vec<Arc<Target>>> {
+        let mut known = HashSet::new();
+        let mut by_service: BTreeMap<String, Vec<Arc<Target>>> = BTreeMap::new();
+        let own_region = self.cfg.region(&self.cfg.zone).to_owned();
+        for target in config.targets.values() {
+            let key = (target.name.clone(), target.incarnation);
+            let region = self.cfg.region(&target.zone);
+            let made = || Arc::new(Target::new(target, region, &own_region));
+            let shared = self.targets.entry(key.clone()).or_insert_with(made).clone();
+            known.insert(key);
+            let drained = config.has_label(ObjectKind::Zone, &target.zone, "drain", "true");
+            let usable = target.phase == Phase::Serving && !drained;
+            shared.set_usable(usable);
+            if let Some(service) = target.labels.get(SERVICE_LABEL)
+                && usable
+            {
+                by_service.entry(service.clone()).or_default().push(shared);
+            }
+        }
+        self.targets.retain(|key, target| {
+            let kept = known.contains(key);
+            if !kept {
+                target.set_usable(false);
+            }
+            kept
+        });
+        by_service
+    }
+
+    /// Each host gets an equal part of the burst, and starts with none of it: another process of this host may have
+    /// used it just before.
+    fn budget(&mut self, service: &str, nodes: usize) -> Arc<Mutex<Budget>> {
+        let cfg = &self.cfg;
+        let made = || {
+            let burst = cfg.repeat_burst / u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
+            let mut budget = Budget::new(cfg.repeat_percent, burst);
+            budget.try_spend(u64::from(burst));
+            Arc::new(Mutex::new(budget))
+        };
+        self.repeats.entry(service.to_owned()).or_insert_with(made).clone()
+    }
+
+    fn typical(&mut self, route: &route::Route) -> Arc<Mutex<Typical>> {
+        let objective = Duration::from_millis(route.objective_ms.min(route.timeout_ms));
+        let made = || Arc::new(Mutex::new(Typical::new(objective)));
+        self.typical.entry(route.name.clone()).or_insert_with(made).clone()
+    }
+}
+
+fn connections(max: u32, nodes: usize) -> usize {
+    let share = f64::from(max) * CONNECTION_SHARE / nodes.max(1) as f64;
+    (share as usize).max(1)
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -188,6 +188,8 @@
     pub election_ms: u64,
     /// How long an entry host may stay silent.
     pub node_expiry_ms: u64,
+    /// How long the announcement of a target may stay without a renewal; the owners look after it if not set.
+    pub target_expiry_ms: Option<u64>,
     /// How long a voter may stay silent before it is replaced.
     pub repair_after_ms: u64,
     /// How many log entries are kept before they are replaced by a snapshot.
@@ -208,6 +210,12 @@
             heartbeat_ms: rdr.number("heartbeat_ms", 100, 10, 1_000),
             election_ms: rdr.number("election_ms", 500, 50, 10_000),
             node_expiry_ms: rdr.number("node_expiry_ms", 3_000, 500, 60_000),
+            target_expiry_ms: rdr.optional(
+                "target_expiry_ms",
+                "a whole number from 500 to 60000",
+                None,
+                |it| it.is_none_or(|it| (500..=60_000).contains(&it)),
+            ),
             repair_after_ms: rdr.number("repair_after_ms", 30_000, 1_000, 3_600_000),
             snapshot_entries: rdr.number("snapshot_entries", 1_000, 10, 1_000_000),
         }
--- a/src/state/change.rs
+++ b/src/state/change.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     error::{Error, Outcome},
+    route,
     state::{Claim, Group, Node, Object, Revision, Selector, Settlement, Target},
 };
 
@@ -43,6 +44,8 @@
         /// The selector's name.
         name: String,
     },
+    /// Replaces all routes, unless routes with a higher number are in force.
+    PutRoutes(Box<route::Table>),
     /// Adds or updates an entry host.
     PutNode(Node),
     /// Removes an entry host that stopped or stayed silent.
@@ -84,6 +87,14 @@
 }
 
 impl Change {
+    /// The change as entry hosts get it, without what only operators need.
+    pub fn for_entry_hosts(&self) -> Self {
+        match self {
+            Self::PutRoutes(table) => Self::PutRoutes(Box::new(table.without_document())),
+            change => change.clone(),
+        }
+    }
+
     /// Whether operators make this change, so that it must name the revision it builds on.
     pub fn by_operator(&self) -> bool {
         matches!(
--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     error::{Error, Kind},
+    route,
     state::{Change, Labels, Match, Object, ObjectKind, Reply, check_name},
 };
 
@@ -153,6 +154,8 @@
     pub versions: BTreeMap<(String, u64), Version>,
     /// Requests under suspicion, by fingerprint.
     pub suspects: BTreeMap<u64, Suspect>,
+    /// The routes in force.
+    pub routes: route::Table,
 }
 
 impl Config {
@@ -169,6 +172,11 @@
         Ok(Reply::Applied { revision: self.revision })
     }
 
+    /// The configuration as entry hosts get it, without what only operators need.
+    pub fn for_entry_hosts(&self) -> Self {
+        Self { routes: self.routes.without_document(), ..self.clone() }
+    }
+
     /// The labels in force on an object.
     pub fn labels_of(&self, kind: ObjectKind, name: &str) -> Labels {
         let mut labels = match kind {
@@ -204,6 +212,7 @@
             Change::RemoveGroup { name } => self.remove_group(name),
             Change::PutSelector(selector) => self.put_selector(selector),
             Change::RemoveSelector { name } => Ok(self.selectors.remove(name).is_some()),
+            Change::PutRoutes(table) => self.put_routes(table),
             Change::PutNode(node) => self.put_node(node),
             Change::RemoveNode { name, incarnation } => {
                 let current = self.nodes.get(name).is_some_and(|it| it.incarnation == *incarnation);
@@ -264,6 +273,24 @@
         Ok(old.as_ref() != Some(selector))
     }
 
+    /// The highest number is in force. An old number changes nothing; other routes under the number in force are refused.
+    /// The number counts only among operators' documents, so entry hosts, which hold none, compare routes alone.
+    fn put_routes(&mut self, table: &route::Table) -> Result<bool, Error> {
+        let current = self.routes.version;
+        if table.version < current {
+            return Ok(false);
+        }
+        if table.version == current && !self.routes.routes.is_empty() {
+            let same = (&table.routes, &table.services, &table.limits)
+                == (&self.routes.routes, &self.routes.services, &self.routes.limits);
+            let message = format!("other routes are in force under the number {current}");
+            return if same { Ok(false) } else { Err(Error::new(Kind::Conflict, message)) };
+        }
+        table.check().map_err(|it| Error::new(Kind::BadRequest, it.to_string()))?;
+        self.routes = table.clone();
+        Ok(true)
+    }
+
     fn put_node(&mut self, node: &Node) -> Result<bool, Error> {
         check_name(&node.name)?;
         check_name(&node.zone)?;
--- a/src/wire/control.rs
+++ b/src/wire/control.rs
@@ -70,6 +70,15 @@
     pub cluster: Option<u128>,
 }
 
+/// Where a control host is.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Seat {
+    /// The availability zone.
+    pub zone: String,
+    /// The RPC address.
+    pub rpc: SocketAddr,
+}
+
 /// The answer to a control host that wants to become a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Joined {
@@ -97,6 +106,8 @@
     async fn poll(poll: Poll) -> Result<Update, Error>;
     /// Commits a change.
     async fn submit(submit: Submit) -> Result<Reply, Error>;
+    /// The control hosts that are known: their zones and RPC addresses.
+    async fn members() -> Vec<Seat>;
     /// Control hosts only: who this host is.
     async fn identity() -> Identity;
     /// Control hosts only: asks the leader to take the host in.
