--- a/src/relay/stop.rs
+++ b/src/relay/stop.rs
@@ -12,8 +12,8 @@
     relay::host::Host,
 };
 
-/// Some callers keep a list this many times as long as they are told.
-const LIST_KEPT_TIMES: u32 = 3;
+/// The part of the grace after which connections of callers are ended.
+const SERVE_DIVISOR: u32 = 2;
 
 /// Until the other hosts know that this one leaves.
 const SPREAD: Duration = Duration::from_millis(300);
@@ -32,8 +32,8 @@
     host.poll_now.notify_one();
     host.events.record(Event::new(Kind::Stopping, "signal"));
     let end = start + grace - grace / EXIT_DIVISOR;
-    let known = host.cfg.list_ttl * LIST_KEPT_TIMES + SPREAD;
-    sleep(known.min(grace / 2)).await;
+    let known = host.cfg.list_ttl;
+    sleep(known.min(grace / SERVE_DIVISOR)).await;
     while Instant::now() < end {
         host.closing.notify_waiters();
         let spread = Instant::now() >= start + known + SPREAD;
