Divide the burst of the repeat budget anew with each view

The first configuration came before any host had joined, so each of the eleven hosts took the whole burst of 62 for itself.

--- a/src/policy/budget.rs
+++ b/src/policy/budget.rs
@@ -30,6 +30,12 @@
         Self { percent, parts: max_parts, max_parts }
     }
 
+    /// Changes how many tokens the budget holds at most. What is beyond is lost.
+    pub fn set_burst(&mut self, burst: u32) {
+        self.max_parts = if self.percent == 0 { 0 } else { u64::from(burst) * PARTS_PER_TOKEN };
+        self.parts = self.parts.min(self.max_parts);
+    }
+
     /// Counts `n` regular sub-requests.
     pub fn earn(&mut self, n: u64) {
         self.parts = self.parts.saturating_add(n.saturating_mul(self.percent)).min(self.max_parts);
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -136,14 +136,11 @@
     /// Each host gets an equal part of the burst, and starts with none of it: another process of this host may have
     /// used it just before.
     fn budget(&mut self, service: &str, nodes: usize) -> Arc<Mutex<Budget>> {
-        let cfg = &self.cfg;
-        let made = || {
-            let burst = cfg.repeat_burst / u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
-            let mut budget = Budget::new(cfg.repeat_percent, burst);
-            budget.try_spend(u64::from(burst));
-            Arc::new(Mutex::new(budget))
-        };
-        self.repeats.entry(service.to_owned()).or_insert_with(made).clone()
+        let made = || Arc::new(Mutex::new(Budget::new(self.cfg.repeat_percent, 0)));
+        let budget = self.repeats.entry(service.to_owned()).or_insert_with(made);
+        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+        budget.lock().set_burst(self.cfg.repeat_burst.checked_div(nodes).unwrap_or(0));
+        budget.clone()
     }
 
     fn typical(&mut self, route: &route::Route) -> Arc<Mutex<Typical>> {
--- a/tests/policy/budget.rs
+++ b/tests/policy/budget.rs
@@ -124,3 +124,15 @@
     assert!(try_hedge(1, ms(10), ms(10), &mut budget));
     assert!(!try_hedge(1, ms(10), ms(10), &mut budget));
 }
+
+/// Guards against hosts that each keep the burst of all: the first view of a host may show no other host yet.
+#[test]
+fn set_burst_more_hosts() {
+    let mut budget = Budget::new(20, 60);
+    budget.set_burst(5);
+    let spent = (0..60).filter(|_| budget.try_spend(1)).count();
+    assert_eq!(spent, 5);
+    budget.earn(100);
+    assert!(!budget.try_spend(6));
+    assert!(budget.try_spend(5));
+}
