--- a/src/relay/choice.rs
+++ b/src/relay/choice.rs
@@ -2,8 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-/// How much the newest sample counts.
-const WEIGHT: f64 = 0.2;
+/// How much the newest sample counts. One sub-request that takes five times as long must not send the next ones to
+/// another region.
+const WEIGHT: f64 = 0.1;
 
 /// What was observed is worth half after this time without a sample, so that a target which recovered is tried again.
 const HALF_LIFE: Duration = Duration::from_secs(4);
@@ -115,7 +116,9 @@
     pub fn cost(&self, usual: Duration, slots: u32, now: Instant) -> Duration {
         let kept = self.kept(now);
         let slowness = 1.0 + (self.slowness - 1.0) * kept;
-        let load = 1.0 + self.running.len() as f64 / f64::from(slots.max(1));
+        // The next sub-request waits only if all slots are taken. Other hosts use them too.
+        let taken = self.running.len() as f64 / f64::from(slots.max(1));
+        let load = 1.0 + taken * taken;
         let mut cost = usual.mul_f64(slowness * load) + FAILURE_COST.mul_f64(self.failures * kept);
         if self.avoid_until.is_some_and(|it| now < it) {
             cost += AVOIDED_COST;
