Elect a leader soon after a start

Cause: after the final fault (all machines lose power) 0.7 s of the 1.1 s until requests were served passed before a member's first election timeout.

--- a/src/raft/core.rs
+++ b/src/raft/core.rs
@@ -13,6 +13,9 @@
     Snapshot, Term, log::Log, progress::Progress, read::Confirming, snapshot::Incoming,
 };
 
+/// The most heartbeats that a member waits for a leader after its start.
+const FIRST_ELECTION_HEARTBEATS: u64 = 2;
+
 /// Settings of a member.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -198,7 +201,7 @@
             early: Vec::new(),
             late: Vec::new(),
         };
-        core.reset_election(now_ms);
+        core.expect_leader(now_ms);
         core
     }
 
@@ -307,6 +310,14 @@
         self.election_due_ms = now_ms + self.opts.election_ms + extra;
     }
 
+    /// After a start the leader is given a few heartbeats to show up. Pre-votes protect it if it is there, and after the
+    /// loss of all members at once nobody has to wait for a whole election timeout.
+    fn expect_leader(&mut self, now_ms: u64) {
+        let heartbeats = self.rng.random_range(1..=FIRST_ELECTION_HEARTBEATS);
+        let extra = self.rng.random_range(0..self.opts.heartbeat_ms.max(1));
+        self.election_due_ms = now_ms + heartbeats * self.opts.heartbeat_ms + extra;
+    }
+
     pub(super) fn set_term(&mut self, term: Term, vote: Option<MemberId>) {
         if (term, vote) != (self.hard.term, self.hard.vote) {
             self.hard.term = term;
