--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     relay::{
-        exchange::{self, Answer, Leash, Outcome},
+        exchange::{self, Answer, Leash, Outcome, Refused},
         host::Host,
         request::Query,
         target::Target,
@@ -20,9 +20,15 @@
     route,
 };
 
-/// How many refusals are followed by another target, beside the attempts that the route allows.
+/// How many refusals of targets are followed by another one, beside the attempts that the route allows.
 const MAX_REFUSALS: usize = 3;
 
+/// How many targets may turn out to be unreachable. Nothing reaches them, so the budget does not count them.
+const MAX_UNREACHABLE: usize = 8;
+
+/// After so many unreachable targets of one zone a request looks for one in another zone.
+const ZONE_LOST: usize = 2;
+
 /// The pause before targets that were all busy are looked at again.
 const BUSY_PAUSE: Duration = Duration::from_millis(3);
 
@@ -49,6 +55,9 @@
     /// How many targets may have run it or may still do so.
     attempts: usize,
     refusals: usize,
+    unreachable: Vec<Arc<Target>>,
+    /// Whether the next target replaces one that nothing has reached.
+    replaces: bool,
     failure: Failure,
 }
 
@@ -71,6 +80,8 @@
         tried: vec![first],
         attempts: 1,
         refusals: 0,
+        unreachable: Vec::new(),
+        replaces: false,
         failure: Failure { ran: false, answer: None, cause: "no_target" },
     };
     let mut hedged = query.path().route.kind != route::Kind::Idempotent;
@@ -116,7 +127,7 @@
     fn take(
         &mut self,
         query: &Query,
-        target: &Target,
+        target: &Arc<Target>,
         outcome: Outcome,
     ) -> Result<Answer, &'static str> {
         let cause: &'static str = match outcome {
@@ -128,7 +139,12 @@
             Outcome::Answered(answer) => return Ok(answer),
             Outcome::NotRun(refused) => {
                 self.attempts -= 1;
-                self.refusals += 1;
+                self.replaces = refused == Refused::Unreachable;
+                if self.replaces {
+                    self.unreachable.push(target.clone());
+                } else {
+                    self.refusals += 1;
+                }
                 refused.into()
             }
             Outcome::Unknown(broken) => {
@@ -154,12 +170,27 @@
         let most = if repeatable { route.max_attempts.max(1) as usize } else { 1 };
         if self.attempts >= most
             || self.refusals > MAX_REFUSALS
+            || self.unreachable.len() > MAX_UNREACHABLE
             || (self.failure.ran && !repeatable)
         {
             return None;
         }
-        let (target, _) = pick(query, service, &self.tried)?;
-        service.repeats.lock().try_spend(1).then_some(target)
+        let (target, _) = pick(query, service, |it| !self.avoids(it))
+            .or_else(|| pick(query, service, |it| !self.has_tried(it)))?;
+        let free = std::mem::take(&mut self.replaces);
+        (free || service.repeats.lock().try_spend(1)).then_some(target)
+    }
+}
+
+impl Progress {
+    fn has_tried(&self, target: &Arc<Target>) -> bool {
+        self.tried.iter().any(|it| Arc::ptr_eq(it, target))
+    }
+
+    /// Whether the target was tried, or is in a zone that seems to be lost.
+    fn avoids(&self, target: &Arc<Target>) -> bool {
+        let lost = self.unreachable.iter().filter(|it| it.zone == target.zone).count();
+        lost >= ZONE_LOST || self.has_tried(target)
     }
 }
 
@@ -167,7 +198,7 @@
 async fn wait_for_target(query: &Query, service: &Service) -> Result<Arc<Target>, Failure> {
     let end = query.arrived + query.objective() / MAX_WAIT_DIVISOR;
     loop {
-        if let Some((target, _)) = pick(query, service, &[]) {
+        if let Some((target, _)) = pick(query, service, |_| true) {
             return Ok(target);
         }
         let none = !service.targets.iter().any(|it| it.is_usable());
@@ -183,16 +214,14 @@
 fn pick(
     query: &Query,
     service: &Service,
-    tried: &[Arc<Target>],
+    wanted: impl Fn(&Arc<Target>) -> bool,
 ) -> Option<(Arc<Target>, Duration)> {
     let now = Instant::now();
     let homes = &query.path().route.homes;
     let usual = query.path().typical.lock().median();
     let mut rng = rand::rng();
     let usable = service.targets.iter().filter(|it| {
-        it.is_usable()
-            && (homes.is_empty() || homes.contains(&it.region))
-            && !tried.iter().any(|tried| Arc::ptr_eq(it, tried))
+        it.is_usable() && (homes.is_empty() || homes.contains(&it.region)) && wanted(it)
     });
     let costs = usable.filter_map(|it| {
         let standing = it.standing.lock();
@@ -207,7 +236,9 @@
 /// How long to wait for the first target: until it is late, but not so long that another one could not answer in time.
 fn hedge_delay(query: &Query, service: &Service, first: &Arc<Target>) -> Duration {
     let late = first.pool.round_trip() + query.path().typical.lock().late();
-    let Some((_, other)) = pick(query, service, std::slice::from_ref(first)) else { return late };
+    let Some((_, other)) = pick(query, service, |it| !Arc::ptr_eq(it, first)) else {
+        return late;
+    };
     let left = query.stop_at.saturating_duration_since(Instant::now());
     match left.checked_sub(other) {
         Some(latest) => late.min(latest),
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -13,8 +13,9 @@
 use parking_lot::Mutex;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
-/// How long a new connection may take; a target that is there accepts within one round trip.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a new connection may take. A target that is there accepts within one round trip, which is at most some tens
+/// of milliseconds; nothing was sent yet, so another target can take the request.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// An idle connection is not used in the last part of the time for which the target keeps it, because the target may
 /// close it while the request is on its way.
