--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -1,12 +1,19 @@
 //! What all parts of a relay's process share.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicUsize, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
 };
 
+use hyper::HeaderMap;
 use parking_lot::{Mutex, RwLock};
-use tokio::sync::Notify;
+use tokio::{
+    sync::{Notify, watch},
+    time::timeout,
+};
 
 use crate::{
     event::{Event, Kind, Ring, unix_ms},
@@ -19,6 +26,9 @@
     state::{Config, Node},
 };
 
+/// The part of the time left for which a request waits for the first routes.
+const WAIT_DIVISOR: u32 = 3;
+
 /// A relay.
 pub struct Host {
     pub(super) cfg: Arc<Settings>,
@@ -31,6 +41,8 @@
     registry: metric::Registry,
     builder: Mutex<Builder>,
     view: RwLock<Arc<View>>,
+    /// Whether there are routes.
+    routed: watch::Sender<bool>,
     leaving: AtomicBool,
     /// How many requests run.
     pub(super) running: AtomicUsize,
@@ -49,6 +61,7 @@
             registry,
             builder: Mutex::new(Builder::new(cfg.clone())),
             view: RwLock::default(),
+            routed: watch::Sender::new(false),
             leaving: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             cfg,
@@ -65,6 +78,19 @@
         self.registry.render()
     }
 
+    /// The view, once there is one. A process that has just started soon gets it; a request waits for it for a part of
+    /// the time that its caller has left.
+    pub(super) async fn ready_view(&self, headers: &HeaderMap) -> Option<Arc<View>> {
+        let mut routed = self.routed.subscribe();
+        if !*routed.borrow() {
+            let left = headers.get(&self.cfg.headers.deadline);
+            let left_ms = left.and_then(|it| it.to_str().ok()?.parse().ok()).unwrap_or(0);
+            let wait = Duration::from_millis(left_ms) / WAIT_DIVISOR;
+            timeout(wait, routed.wait_for(|it| *it)).await.ok()?.ok()?;
+        }
+        Some(self.view())
+    }
+
     pub(super) fn view(&self) -> Arc<View> {
         self.view.read().clone()
     }
@@ -80,7 +106,9 @@
             return;
         }
         let view = self.builder.lock().build(config);
+        let routed = view.version > 0;
         *self.view.write() = Arc::new(view);
+        self.routed.send_replace(routed);
         self.events.record(Event::new(Kind::ConfigApplied, cause));
     }
 
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -94,11 +94,11 @@
 
 /// Answers a request whose body has arrived.
 pub(super) async fn answer(host: &Arc<Host>, head: Parts, body: Bytes) -> Response<Full<Bytes>> {
-    let view = host.view();
-    if view.version == 0 {
+    let arrived = Instant::now();
+    let Some(view) = host.ready_view(&head.headers).await else {
         return reply::not_ready("no_routes");
-    }
-    let query = match resolve(host, view, head, body) {
+    };
+    let query = match resolve(host, view, head, body, arrived) {
         Ok(query) => Arc::new(query),
         Err(cause) => return reply::plain(StatusCode::NOT_FOUND, cause, Duration::ZERO),
     };
@@ -144,9 +144,14 @@
     reply::refuse(host, query, &refusal)
 }
 
-fn resolve(host: &Host, view: Arc<View>, head: Parts, body: Bytes) -> Result<Query, &'static str> {
+fn resolve(
+    host: &Host,
+    view: Arc<View>,
+    head: Parts,
+    body: Bytes,
+    arrived: Instant,
+) -> Result<Query, &'static str> {
     let Parts { method, uri, mut headers, .. } = head;
-    let arrived = Instant::now();
     let authority = uri.authority().map(|it| it.as_str().to_owned());
     let named = headers.get(HOST).and_then(|it| it.to_str().ok()).map(str::to_owned);
     let Some(name) = named.or(authority) else { return Err("no_host") };
