--- a/src/raft/core.rs
+++ b/src/raft/core.rs
@@ -13,9 +13,6 @@
     Snapshot, Term, log::Log, progress::Progress, read::Confirming, snapshot::Incoming,
 };
 
-/// The most heartbeats that a member waits for a leader after its start.
-const FIRST_ELECTION_HEARTBEATS: u64 = 2;
-
 /// Settings of a member.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -173,6 +170,8 @@
     pub(super) installed: Vec<Action>,
     pub(super) election_due_ms: u64,
     pub(super) heard_leader_ms: Option<u64>,
+    /// How many elections this member has started.
+    pub(super) tries: u64,
     pub(super) reads: Vec<Action>,
     early: Vec<Message>,
     late: Vec<Message>,
@@ -197,11 +196,12 @@
             installed: Vec::new(),
             election_due_ms: 0,
             heard_leader_ms: None,
+            tries: 0,
             reads: Vec::new(),
             early: Vec::new(),
             late: Vec::new(),
         };
-        core.expect_leader(now_ms);
+        core.reset_election(now_ms);
         core
     }
 
@@ -305,17 +305,17 @@
         self.log.push(Entry { index, term: self.hard.term, payload });
     }
 
+    /// Sets when this member stops waiting for a leader. Until it has heard from one since its start, it waits a few
+    /// heartbeats only, a little longer after each try: pre-votes protect a leader that is there, and after the loss of
+    /// all members at once nobody has to wait for a whole election timeout.
     pub(super) fn reset_election(&mut self, now_ms: u64) {
-        let extra = self.rng.random_range(0..self.opts.election_ms.max(1));
-        self.election_due_ms = now_ms + self.opts.election_ms + extra;
-    }
-
-    /// After a start the leader is given a few heartbeats to show up. Pre-votes protect it if it is there, and after the
-    /// loss of all members at once nobody has to wait for a whole election timeout.
-    fn expect_leader(&mut self, now_ms: u64) {
-        let heartbeats = self.rng.random_range(1..=FIRST_ELECTION_HEARTBEATS);
-        let extra = self.rng.random_range(0..self.opts.heartbeat_ms.max(1));
-        self.election_due_ms = now_ms + heartbeats * self.opts.heartbeat_ms + extra;
+        let shortest = self.opts.heartbeat_ms * (1 + self.tries);
+        let least = match self.heard_leader_ms {
+            None => shortest.min(self.opts.election_ms),
+            Some(_) => self.opts.election_ms,
+        };
+        let extra = self.rng.random_range(0..least.max(1));
+        self.election_due_ms = now_ms + least + extra;
     }
 
     pub(super) fn set_term(&mut self, term: Term, vote: Option<MemberId>) {
--- a/src/raft/election.rs
+++ b/src/raft/election.rs
@@ -119,6 +119,7 @@
     }
 
     fn pre_campaign(&mut self, now_ms: u64) {
+        self.tries += 1;
         self.follow(now_ms, None);
         if !self.may_lead() {
             return;
