--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -196,7 +196,7 @@
 
 /// Waits a moment if all targets are busy.
 async fn wait_for_target(query: &Query, service: &Service) -> Result<Arc<Target>, Failure> {
-    let end = query.arrived + query.objective() / MAX_WAIT_DIVISOR;
+    let end = Instant::now() + query.objective() / MAX_WAIT_DIVISOR;
     loop {
         if let Some((target, _)) = pick(query, service, |_| true) {
             return Ok(target);
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -18,8 +18,9 @@
 /// The label of a target that names its service.
 pub const SERVICE_LABEL: &str = "service";
 
-/// The part of a target's connections that all hosts together use.
-const CONNECTION_SHARE: f64 = 0.9;
+/// The part of a target's connections that all hosts together use. After a loss of power a target still counts the
+/// connections of the processes that were lost.
+const CONNECTION_SHARE: f64 = 0.5;
 
 /// A service of a view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -152,5 +153,5 @@
 
 fn connections(max: u32, nodes: usize) -> usize {
     let share = f64::from(max) * CONNECTION_SHARE / nodes.max(1) as f64;
-    (share as usize).max(1)
+    (share.round() as usize).max(1)
 }
