--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -29,11 +29,13 @@
 /// After so many unreachable targets of one zone a request looks for one in another zone.
 const ZONE_LOST: usize = 2;
 
-/// The pause before targets that were all busy are looked at again.
-const BUSY_PAUSE: Duration = Duration::from_millis(3);
+/// The pause before targets that were all busy are looked at again. Requests that are late already leave the first
+/// chance to those that can still be answered in time.
+const BUSY_PAUSE: Duration = Duration::from_millis(2);
+const LATE_PAUSE: Duration = Duration::from_millis(15);
 
-/// The part of the objective for which a sub-request waits for a connection.
-const MAX_WAIT_DIVISOR: u32 = 4;
+/// The part of the time left for which a sub-request waits for a target that is not busy.
+const MAX_WAIT_DIVISOR: u32 = 3;
 
 /// Costs of targets are told apart by at least this share, so that hosts do not all choose the same one.
 const JITTER: f64 = 0.05;
@@ -196,7 +198,8 @@
 
 /// Waits a moment if all targets are busy.
 async fn wait_for_target(query: &Query, service: &Service) -> Result<Arc<Target>, Failure> {
-    let end = Instant::now() + query.objective() / MAX_WAIT_DIVISOR;
+    let now = Instant::now();
+    let end = now + query.give_up.saturating_duration_since(now) / MAX_WAIT_DIVISOR;
     loop {
         if let Some((target, _)) = pick(query, service, |_| true) {
             return Ok(target);
@@ -206,7 +209,8 @@
             let cause = if none { "no_target" } else { "busy" };
             return Err(Failure { ran: false, answer: None, cause });
         }
-        sleep(BUSY_PAUSE).await;
+        let late = query.is_late(Instant::now());
+        sleep(if late { LATE_PAUSE } else { BUSY_PAUSE }).await;
     }
 }
 
--- a/src/relay/gather.rs
+++ b/src/relay/gather.rs
@@ -65,7 +65,8 @@
     };
     query.leash.release();
     if parts.answers.len() < enough {
-        parts.ran |= end == "timeout";
+        // A shard that answered or may still answer has run its part.
+        parts.ran |= !parts.answers.is_empty() || parts.failed < total;
         let refusal = Refusal::new(end == "timeout", parts.ran, parts.cause);
         host.metrics.answer(query, "refused");
         return reply::refuse(host, query, &refusal);
