--- /dev/null
+++ b/tests/relay/main.rs
@@ -0,0 +1,6 @@
+//! A relay between stand-ins: what callers get, and what reaches targets.
+
+mod choice;
+mod gather;
+mod single;
+mod support;
--- /dev/null
+++ b/tests/relay/single.rs
@@ -0,0 +1,191 @@
+//! Requests for one target.
+
+use std::time::Duration;
+
+use gentianpass::{
+    relay::Asker,
+    route::{Kind, Route},
+    state::{Change, Object, ObjectKind, Phase, Target},
+};
+use hyper::{Request, StatusCode, header::RETRY_AFTER};
+
+use crate::support::{Behaviour, Bench, Server, record, single, target};
+
+/// A first choice with this behaviour in the own zone, and a second one far away that answers.
+async fn pair(kind: Kind, first: Behaviour) -> (Bench, Server, Server) {
+    let bench = Bench::start().await;
+    let near = Server::start(first).await;
+    let far = Server::start(Behaviour::Answer(record(2))).await;
+    bench.announce("near", "s", "near", near.addr);
+    bench.announce("far", "s", "far", far.addr);
+    bench.route(vec![single(kind)]).await;
+    (bench, near, far)
+}
+
+#[tokio::test]
+async fn answer_unchanged() {
+    let (bench, near, far) = pair(Kind::AtMostOnce, Behaviour::Answer(record(1))).await;
+    let (status, headers, body) =
+        bench.send(Request::get("/one/x?y=z").header("other", "kept")).await;
+    assert_eq!((status, &body[..]), (StatusCode::OK, &record(1)[..]));
+    assert_eq!(headers["signature"], "signature-of-near");
+    assert_eq!(headers["request-id"], "q-1");
+    assert_eq!((near.served(), far.served()), (1, 0));
+    let sent = near.headers.lock()[0].clone();
+    assert_eq!(sent["other"], "kept");
+    assert_eq!(sent["expected"], "near");
+    let left: u64 = sent["deadline"].to_str().unwrap().parse().unwrap();
+    assert!((2_000..=3_000).contains(&left), "{left}");
+}
+
+#[tokio::test]
+async fn disconnect_at_most_once() {
+    let (bench, near, far) = pair(Kind::AtMostOnce, Behaviour::Disconnect).await;
+    let (status, headers, _) = bench.get("/one/x").await;
+    assert_eq!(status, StatusCode::BAD_GATEWAY, "it may have run");
+    assert!(!headers.contains_key(RETRY_AFTER));
+    assert_eq!((near.served(), far.served()), (1, 0));
+}
+
+#[tokio::test]
+async fn disconnect_idempotent() {
+    let (bench, near, far) = pair(Kind::Idempotent, Behaviour::Disconnect).await;
+    let (status, headers, _) = bench.get("/one/x").await;
+    assert_eq!((status, near.served(), far.served()), (StatusCode::OK, 1, 1));
+    assert_eq!(headers["signature"], "signature-of-far");
+}
+
+#[tokio::test]
+async fn shed_at_most_once() {
+    let (bench, near, far) = pair(Kind::AtMostOnce, Behaviour::Shed).await;
+    let (status, _, _) = bench.get("/one/x").await;
+    assert_eq!((status, near.served(), far.served()), (StatusCode::OK, 1, 1), "it did not run");
+}
+
+#[tokio::test]
+async fn wrong_process_not_asked_again() {
+    let (bench, near, far) = pair(Kind::AtMostOnce, Behaviour::WrongProcess).await;
+    for _ in 0..3 {
+        assert_eq!(bench.get("/one/x").await.0, StatusCode::OK);
+    }
+    assert_eq!((near.served(), far.served()), (1, 3));
+}
+
+/// Guards against an answer that is given to another request than its own.
+#[tokio::test]
+async fn wrong_request_discarded() {
+    let (bench, near, far) = pair(Kind::Idempotent, Behaviour::WrongRequest).await;
+    let (status, headers, _) = bench.get("/one/x").await;
+    assert_eq!((status, near.served(), far.served()), (StatusCode::OK, 1, 1));
+    assert_eq!(headers["signature"], "signature-of-far");
+    assert_eq!(headers["request-id"], "q-1");
+}
+
+#[tokio::test]
+async fn silent_hedged() {
+    let (bench, near, far) = pair(Kind::Idempotent, Behaviour::Silent).await;
+    assert_eq!(bench.get("/one/x").await.0, StatusCode::OK);
+    assert_eq!((near.served(), far.served()), (1, 1));
+}
+
+/// Guards against a second run of a request that was slow, not lost.
+#[tokio::test]
+async fn silent_at_most_once() {
+    let (bench, near, far) = pair(Kind::AtMostOnce, Behaviour::Silent).await;
+    let (status, _, _) = bench.get("/one/x").await;
+    assert_eq!(status, StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!((near.served(), far.served()), (1, 0));
+}
+
+#[tokio::test]
+async fn fail_everywhere_passed_on() {
+    let (bench, _near, far) = pair(Kind::Idempotent, Behaviour::Fail).await;
+    *far.behaviour.lock() = Behaviour::Fail;
+    let (status, headers, _) = bench.get("/one/x").await;
+    assert_eq!(status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(headers["signature"], "signature-of-far", "the failure is the target's own");
+}
+
+#[tokio::test]
+async fn refused_says_when_to_return() {
+    let bench = Bench::start().await;
+    bench.route(vec![single(Kind::AtMostOnce)]).await;
+    let (status, headers, _) = bench.get("/one/x").await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    let seconds: f64 = headers[RETRY_AFTER].to_str().unwrap().parse().unwrap();
+    assert!(seconds > 0.0 && seconds < 1.0, "{seconds}");
+}
+
+#[tokio::test]
+async fn no_route() {
+    let (bench, _near, _far) = pair(Kind::Idempotent, Behaviour::Fail).await;
+    assert_eq!(bench.get("/other/x").await.0, StatusCode::NOT_FOUND);
+}
+
+/// Guards against refusals while a process that has just started is about to get its routes.
+#[tokio::test]
+async fn wait_for_routes() {
+    let bench = Bench::start().await;
+    let server = Server::start(Behaviour::Answer(record(1))).await;
+    bench.announce("near", "s", "near", server.addr);
+    let route = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        bench.route(vec![single(Kind::Idempotent)]).await;
+    };
+    let (answer, ()) = tokio::join!(bench.get("/one/x"), route);
+    assert_eq!(answer.0, StatusCode::OK);
+}
+
+/// Guards against refusals while the targets of a zone are gone: more of them than a request may try.
+#[tokio::test]
+async fn zone_unreachable() {
+    let bench = Bench::start().await;
+    for number in 0..8 {
+        let gone = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        bench.announce(&format!("near-{number}"), "s", "near", gone.local_addr().unwrap());
+    }
+    let far = Server::start(Behaviour::Answer(record(2))).await;
+    bench.announce("far", "s", "far", far.addr);
+    bench.route(vec![single(Kind::AtMostOnce)]).await;
+    assert_eq!(bench.get("/one/x").await.0, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn drained_zone_unused() {
+    let (bench, near, far) = pair(Kind::Idempotent, Behaviour::Answer(record(1))).await;
+    let object = Object::new(ObjectKind::Zone, "near");
+    bench.control.apply(Change::SetLabel { object, key: "drain".into(), value: "true".into() });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(bench.get("/one/x").await.0, StatusCode::OK);
+    assert_eq!((near.served(), far.served()), (0, 1));
+}
+
+#[tokio::test]
+async fn leaving_target_unused() {
+    let (bench, near, far) = pair(Kind::Idempotent, Behaviour::Answer(record(1))).await;
+    let leaving = Target { phase: Phase::Leaving, ..target("near", "s", "near", near.addr) };
+    bench.control.apply(Change::PutTarget(leaving));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(bench.get("/one/x").await.0, StatusCode::OK);
+    assert_eq!((near.served(), far.served()), (0, 1));
+}
+
+#[tokio::test]
+async fn home_kept() {
+    let bench = Bench::start().await;
+    let near = Server::start(Behaviour::Answer(record(1))).await;
+    let far = Server::start(Behaviour::Answer(record(2))).await;
+    bench.announce("near", "s", "near", near.addr);
+    bench.announce("far", "s", "far", far.addr);
+    let homed = Route { homes: vec!["there".into()], ..single(Kind::Idempotent) };
+    bench.route(vec![homed]).await;
+    assert_eq!(bench.get("/one/x").await.0, StatusCode::OK);
+    assert_eq!((near.served(), far.served()), (0, 1));
+    let asker = |region: &str| Asker {
+        name: "labels.example".into(),
+        zone: "far".into(),
+        region: region.into(),
+    };
+    assert_eq!(bench.relay.addresses(&asker("there")), None, "this host is in no home");
+    assert_eq!(bench.relay.addresses(&asker("here")), Some(vec![bench.addr]));
+}
--- /dev/null
+++ b/tests/route/main.rs
@@ -0,0 +1,104 @@
+//! Tables of routes: what is refused, and which route a request takes.
+
+use std::collections::BTreeMap;
+
+use gentianpass::route::{
+    Index, Kind, Limits, PARTS_PER_WHOLE, Part, Problem, Route, Service, Shards, Table, To,
+};
+
+fn route(name: &str, prefix: &str, to: To) -> Route {
+    Route {
+        name: name.into(),
+        host: "labels.example".into(),
+        prefix: prefix.into(),
+        kind: Kind::Idempotent,
+        timeout_ms: 500,
+        objective_ms: 80,
+        priority: 1,
+        max_attempts: 2,
+        homes: Vec::new(),
+        to,
+    }
+}
+
+fn table(routes: Vec<Route>) -> Table {
+    let services = ["a", "b"].map(|it| (it.to_owned(), Service::default()));
+    Table {
+        version: 1,
+        document: String::new(),
+        routes,
+        services: BTreeMap::from(services),
+        limits: Limits::default(),
+    }
+}
+
+fn to(service: &str) -> To {
+    To::Service(service.into())
+}
+
+#[test]
+fn check_valid() {
+    let split = To::Split(vec![
+        Part { service: "a".into(), weight: 1 },
+        Part { service: "b".into(), weight: 0 },
+    ]);
+    table(vec![route("r", "/r/", to("a")), route("s", "/s/", split)]).check().unwrap();
+}
+
+#[test]
+fn check_unknown_service() {
+    let problem = table(vec![route("r", "/", to("c"))]).check().unwrap_err();
+    assert_eq!(problem, Problem::UnknownService { route: "r".into(), service: "c".into() });
+}
+
+#[test]
+fn check_same_place() {
+    let routes = vec![route("r", "/x/", to("a")), route("s", "/x/", to("b"))];
+    assert!(matches!(table(routes).check(), Err(Problem::SamePlace { .. })));
+}
+
+#[test]
+fn check_no_weight() {
+    let split = To::Split(vec![Part { service: "a".into(), weight: 0 }]);
+    assert!(matches!(table(vec![route("r", "/", split)]).check(), Err(Problem::NoWeight { .. })));
+}
+
+#[test]
+fn check_no_timeout() {
+    let untimed = Route { timeout_ms: 0, ..route("r", "/", to("a")) };
+    assert!(matches!(table(vec![untimed]).check(), Err(Problem::NoTimeout { .. })));
+}
+
+#[test]
+fn check_shard_twice() {
+    let shards = Shards { services: vec!["a".into(), "a".into()], top: 1, min_coverage: 0 };
+    let problem = table(vec![route("r", "/", To::Shards(shards))]).check();
+    assert!(matches!(problem, Err(Problem::Shards { .. })));
+}
+
+#[test]
+fn find_longest_prefix() {
+    let routes = vec![route("r", "/x/", to("a")), route("s", "/x/y/", to("b"))];
+    let index = Index::new(&table(routes));
+    assert_eq!(index.find("labels.example", "/x/z"), Some(0));
+    assert_eq!(index.find("labels.example", "/x/y/z"), Some(1));
+    assert_eq!(index.find("Labels.Example:8080", "/x/y/z"), Some(1));
+    assert_eq!(index.find("labels.example", "/x"), None);
+    assert_eq!(index.find("other.example", "/x/z"), None);
+}
+
+/// Guards against an answer that covers less than the share that was asked for, and against rounding above it.
+#[test]
+fn enough_rounds_up() {
+    let enough = |shards: usize, share: f64| {
+        let services = (0..shards).map(|it| it.to_string()).collect();
+        let min_coverage = (share * PARTS_PER_WHOLE as f64).round() as u64;
+        Shards { services, top: 1, min_coverage }.enough()
+    };
+    assert_eq!(enough(10, 0.89), 9);
+    assert_eq!(enough(10, 0.9), 9);
+    assert_eq!(enough(10, 0.75), 8);
+    assert_eq!(enough(36, 0.95), 35);
+    assert_eq!(enough(10, 0.0), 1);
+    assert_eq!(enough(10, 1.0), 10);
+}
