--- a/src/control/host.rs
+++ b/src/control/host.rs
@@ -24,7 +24,7 @@
     event::Ring,
     raft::{Index, MemberId, Membership, Role},
     settings,
-    state::{Reply, Revision, Tables},
+    state::{Change, Reply, Revision, Tables},
     wire::control::{Heard, Identity, Poll, Seat, ServiceClient, Submit, Update},
 };
 
@@ -42,7 +42,10 @@
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The longest change, in bytes. It must fit into a frame together with its envelope.
-const MAX_CHANGE_BYTES: u64 = 512 << 10;
+const MAX_CHANGE_BYTES: u64 = 256 << 10;
+
+/// The longest table of routes, in bytes: it holds the operators' document besides the routes.
+const MAX_ROUTES_BYTES: u64 = 512 << 10;
 
 /// What this host knows about the cluster.
 #[derive(Clone, Debug)]
@@ -161,8 +164,12 @@
 
     async fn submit_unmeasured(&self, submit: Submit) -> Result<Reply> {
         let bytes = bincode::serialized_size(&submit).unwrap_or(u64::MAX);
-        if bytes > MAX_CHANGE_BYTES {
-            let message = format!("the change has {bytes} bytes, allowed are {MAX_CHANGE_BYTES}");
+        let allowed = match submit.change {
+            Change::PutRoutes(_) => MAX_ROUTES_BYTES,
+            _ => MAX_CHANGE_BYTES,
+        };
+        if bytes > allowed {
+            let message = format!("the change has {bytes} bytes, allowed are {allowed}");
             return Err(Error::new(Kind::TooLarge, message));
         }
         let (leader, addr) = self.leader().await?;
