Accept no connections in the last part of a planned stop; leave callers their ways

Cause of late gathered answers: a tenth of 80 ms does not cover the ways of a caller that had to connect first.

--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -3,7 +3,10 @@
 use std::{
     convert::Infallible,
     io,
-    sync::{Arc, atomic::Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -18,7 +21,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::relay::{host::Host, reply, request};
+use crate::relay::{
+    host::Host,
+    reply,
+    request::{self, Connection},
+};
 
 /// The pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -55,7 +62,11 @@
     }
     let limits = host.view().limits.clone();
     let buffer = usize::try_from(limits.header_bytes).unwrap_or(usize::MAX).max(MIN_BUFFER_BYTES);
-    let service = service_fn(|request| handle(&host, request));
+    let used = AtomicBool::new(false);
+    let service = service_fn(|request| {
+        let used = used.swap(true, Ordering::Relaxed);
+        handle(&host, if used { Connection::Kept } else { Connection::New }, request)
+    });
     // The time for a header section counts from the end of the last answer, so it covers the idle time too.
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -79,6 +90,7 @@
 
 async fn handle(
     host: &Arc<Host>,
+    connection: Connection,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     host.running.fetch_add(1, Ordering::Relaxed);
@@ -86,7 +98,7 @@
     let (head, body) = request.into_parts();
     let limit = usize::try_from(host.view().limits.body_bytes).unwrap_or(usize::MAX);
     if body.is_end_stream() {
-        return Ok(request::answer(host, head, Bytes::new()).await);
+        return Ok(request::answer(host, connection, head, Bytes::new()).await);
     }
     let body = match Limited::new(body, limit).collect().await {
         Ok(body) => body.to_bytes(),
@@ -101,5 +113,5 @@
             return Ok(reply::plain(status, cause, Duration::ZERO));
         }
     };
-    Ok(request::answer(host, head, body).await)
+    Ok(request::answer(host, connection, head, body).await)
 }
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -29,12 +29,28 @@
     route::{Part, To},
 };
 
-/// The part of the objective that is left for the way of the answer back to the caller.
-const RETURN_DIVISOR: u32 = 10;
+/// What callers wait besides the time from the arrival of a request to its answer: the ways, and now and then a question
+/// for addresses.
+const WAYS: Duration = Duration::from_millis(14);
+
+/// One more round trip, for a caller that had to connect first.
+const CONNECT: Duration = Duration::from_millis(8);
+
+/// The largest part of the objective that is left for these ways.
+const RETURN_DIVISOR: u32 = 4;
 
 /// The time that is left for the way of the last answer back to the caller.
 const RETURN: Duration = Duration::from_millis(10);
 
+/// Whether a request is the first one on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Connection {
+    /// The caller connected for this request.
+    New,
+    /// The connection has carried requests before.
+    Kept,
+}
+
 /// A request with its route and its times.
 pub(super) struct Query {
     pub(super) view: Arc<View>,
@@ -93,12 +109,17 @@
 }
 
 /// Answers a request whose body has arrived.
-pub(super) async fn answer(host: &Arc<Host>, head: Parts, body: Bytes) -> Response<Full<Bytes>> {
+pub(super) async fn answer(
+    host: &Arc<Host>,
+    connection: Connection,
+    head: Parts,
+    body: Bytes,
+) -> Response<Full<Bytes>> {
     let arrived = Instant::now();
     let Some(view) = host.ready_view(&head.headers).await else {
         return reply::not_ready("no_routes");
     };
-    let query = match resolve(host, view, head, body, arrived) {
+    let query = match resolve(host, view, connection, head, body, arrived) {
         Ok(query) => Arc::new(query),
         Err(cause) => return reply::plain(StatusCode::NOT_FOUND, cause, Duration::ZERO),
     };
@@ -147,6 +168,7 @@
 fn resolve(
     host: &Host,
     view: Arc<View>,
+    connection: Connection,
     head: Parts,
     body: Bytes,
     arrived: Instant,
@@ -162,6 +184,10 @@
     let asked = headers.get(&names.deadline).and_then(|it| it.to_str().ok()?.parse().ok());
     let left = asked.map_or(limit, |it| Duration::from_millis(it).min(limit));
     let objective = Duration::from_millis(route.objective_ms).min(left);
+    let ways = match connection {
+        Connection::New => WAYS + CONNECT,
+        Connection::Kept => WAYS,
+    };
     reply::strip(&mut headers);
     headers.remove(EXPECT);
     let uri = uri.path_and_query().map_or(Uri::from_static("/"), |it| Uri::from(it.clone()));
@@ -169,7 +195,7 @@
         path,
         request_id: headers.get(&names.request_id).cloned(),
         arrived,
-        stop_at: arrived + objective - objective / RETURN_DIVISOR,
+        stop_at: arrived + objective - ways.min(objective / RETURN_DIVISOR),
         give_up: arrived + left.saturating_sub(RETURN),
         deadline: arrived + left,
         method,
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -33,8 +33,7 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    stop::run(&host).await;
-    front.abort();
+    stop::run(&host, &front.abort_handle()).await;
     follow.abort();
     Ok(())
 }
--- a/src/relay/stop.rs
+++ b/src/relay/stop.rs
@@ -5,17 +5,21 @@
     time::{Duration, Instant},
 };
 
-use tokio::time::sleep;
+use tokio::{task::AbortHandle, time::sleep};
 
 use crate::{
     event::{Event, Kind},
     relay::host::Host,
 };
 
-/// The part of the grace after which connections of callers are ended.
-const SERVE_DIVISOR: u32 = 2;
+/// The part of the grace after which connections of callers are ended, in percent.
+const SERVE_PERCENT: u32 = 50;
 
-/// Until the other hosts know that this one leaves.
+/// The part of the grace after which no connection is accepted any more, in percent. The rest is for the requests that
+/// have arrived until then.
+const ACCEPT_PERCENT: u32 = 60;
+
+/// The time in which a connection that was accepted last carries its first request.
 const SPREAD: Duration = Duration::from_millis(300);
 
 /// The last part of the grace in which the process ends by itself, so that it is not killed.
@@ -25,19 +29,22 @@
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// Leaves the list of hosts, serves until callers know, ends connections and waits for running requests.
-pub(super) async fn run(host: &Arc<Host>) {
+pub(super) async fn run(host: &Arc<Host>, listening: &AbortHandle) {
     let start = Instant::now();
     let grace = host.cfg.grace;
     host.leave();
     host.poll_now.notify_one();
     host.events.record(Event::new(Kind::Stopping, "signal"));
+    sleep(host.cfg.list_ttl.min(grace * SERVE_PERCENT / 100)).await;
+    let accept_until = start + grace * ACCEPT_PERCENT / 100;
     let end = start + grace - grace / EXIT_DIVISOR;
-    let known = host.cfg.list_ttl;
-    sleep(known.min(grace / SERVE_DIVISOR)).await;
     while Instant::now() < end {
         host.closing.notify_waiters();
-        let spread = Instant::now() >= start + known + SPREAD;
-        if spread && host.running.load(Ordering::Relaxed) == 0 {
+        if Instant::now() >= accept_until {
+            listening.abort();
+        }
+        let idle = host.running.load(Ordering::Relaxed) == 0;
+        if idle && Instant::now() >= accept_until + SPREAD {
             break;
         }
         sleep(PAUSE).await;
