--- a/src/process.rs
+++ b/src/process.rs
@@ -8,6 +8,7 @@
 };
 
 use clap::Parser;
+use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
     event,
@@ -88,6 +89,15 @@
         .init();
 }
 
+/// Logs each SIGHUP, which would end the process otherwise. Settings concern the start only.
+pub async fn log_hangups() -> io::Result<()> {
+    let mut hangups = signal(SignalKind::hangup())?;
+    while hangups.recv().await.is_some() {
+        log::info!("event=reload cause=\"SIGHUP: settings concern the next start\"");
+    }
+    Ok(())
+}
+
 /// The exit code of a process, after an error was logged.
 pub fn exit_code(result: eyre::Result<()>) -> ExitCode {
     match result {
