--- a/src/control/repair.rs
+++ b/src/control/repair.rs
@@ -1,4 +1,4 @@
-//! Replacement of voters that stay silent.
+//! Replacement of voters that stay silent, and more voters until there are as many as wanted.
 
 use crate::raft::{MemberChange, MemberId, Status};
 
@@ -15,6 +15,7 @@
     own: MemberId,
     now_ms: u64,
     repair_after_ms: u64,
+    wanted_voters: usize,
 ) -> Option<MemberChange> {
     if !status.membership_committed {
         return None;
@@ -35,15 +36,21 @@
     let silent = |id: &MemberId| silence(id) >= repair_after_ms;
     // A process with another identity at the address of a voter has an empty disk: the voter cannot come back.
     let lost = |id: &MemberId| silent(id) || (superseded(id) && silence(id) >= LEARNER_ALIVE_MS);
+    let caught_up = |id: &MemberId| {
+        let matched = status.members.get(id).map_or(0, |it| it.matched);
+        matched + MAX_LAG_ENTRIES >= status.last && silence(id) < LEARNER_ALIVE_MS
+    };
     if let Some((dead, voter)) = members.iter().find(|(id, it)| it.voter && lost(id)) {
-        let caught_up = |id: &MemberId| {
-            let matched = status.members.get(id).map_or(0, |it| it.matched);
-            matched + MAX_LAG_ENTRIES >= status.last && silence(id) < LEARNER_ALIVE_MS
-        };
         let learners = members.iter().filter(|(id, it)| !it.voter && caught_up(id));
         let best = learners.min_by_key(|(_, it)| it.zone != voter.zone);
         if let Some((id, _)) = best {
-            return Some(MemberChange::Promote { id: *id, replaces: *dead });
+            return Some(MemberChange::Promote { id: *id, replaces: Some(*dead) });
+        }
+    }
+    if status.membership.voters().count() < wanted_voters {
+        let learner = members.iter().find(|(id, it)| !it.voter && caught_up(id));
+        if let Some((id, _)) = learner {
+            return Some(MemberChange::Promote { id: *id, replaces: None });
         }
     }
     let old = members.iter().find(|(id, it)| !it.voter && silent(id) && superseded(id));
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -129,12 +129,16 @@
         let status = self.core.status();
         let own = self.core.id();
         let after_ms = self.host.cfg.repair_after_ms;
-        let Some(change) = repair::next_change(&status, own, now_ms, after_ms) else {
+        let wanted = self.host.cfg.voters as usize;
+        let Some(change) = repair::next_change(&status, own, now_ms, after_ms, wanted) else {
             return Ok(());
         };
         let name = |id| status.membership.members.get(&id).map_or("?", |it| it.name.as_str());
         let cause = match &change {
-            MemberChange::Promote { id, replaces } => format!(
+            MemberChange::Promote { id, replaces: None } => {
+                format!("learner {} is one more voter", name(*id))
+            }
+            MemberChange::Promote { id, replaces: Some(replaces) } => format!(
                 "voter {} was silent for {after_ms} ms, learner {} takes its place",
                 name(*replaces),
                 name(*id)
--- a/src/raft/membership.rs
+++ b/src/raft/membership.rs
@@ -45,7 +45,7 @@
             MemberChange::Promote { id, replaces } => {
                 let member = next.members.get_mut(id).filter(|it| !it.voter)?;
                 member.voter = true;
-                member.replaces = Some(*replaces);
+                member.replaces = *replaces;
             }
             MemberChange::Demote(id) => {
                 next.members.get_mut(id).filter(|it| it.voter)?.voter = false;
@@ -70,8 +70,8 @@
     Promote {
         /// The learner.
         id: MemberId,
-        /// The voter whose place it takes.
-        replaces: MemberId,
+        /// The voter whose place it takes; none if it is one more.
+        replaces: Option<MemberId>,
     },
     /// Makes a voter a learner.
     Demote(MemberId),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -192,6 +192,8 @@
     pub target_expiry_ms: Option<u64>,
     /// How long a voter may stay silent before it is replaced.
     pub repair_after_ms: u64,
+    /// Learners become voters until there are this many.
+    pub voters: u64,
     /// How many log entries are kept before they are replaced by a snapshot.
     pub snapshot_entries: u64,
 }
@@ -217,6 +219,7 @@
                 |it| it.is_none_or(|it| (500..=60_000).contains(&it)),
             ),
             repair_after_ms: rdr.number("repair_after_ms", 30_000, 1_000, 3_600_000),
+            voters: rdr.number("voters", 0, 0, 21),
             snapshot_entries: rdr.number("snapshot_entries", 1_000, 10, 1_000_000),
         }
     }
--- a/tests/raft/sim.rs
+++ b/tests/raft/sim.rs
@@ -198,7 +198,7 @@
         let replaces = MemberId::from(self.rng.random_range(1..=HOSTS));
         match self.rng.random_range(0..4) {
             0 => MemberChange::AddLearner(id, member(false)),
-            1 => MemberChange::Promote { id, replaces },
+            1 => MemberChange::Promote { id, replaces: Some(replaces).filter(|it| it % 2 == 0) },
             2 if voters > 3 => MemberChange::Demote(id),
             _ => MemberChange::Remove(id),
         }
