--- a/tests/control/failures.rs
+++ b/tests/control/failures.rs
@@ -153,3 +153,23 @@
     let zone = crate::cluster::ZONES[0].into();
     Node { name: name.into(), incarnation: 1, http: addr, rpc: addr, zone, leaving: false }
 }
+
+/// Guards against a loss of two hosts that stops the cluster although enough hosts with a disk were there.
+#[tokio::test(flavor = "multi_thread")]
+async fn voters_grow() {
+    let mut cluster = Cluster::start("voters = 5");
+    for zone in &crate::cluster::ZONES[..2] {
+        cluster.add_spare(zone);
+    }
+    let leader = cluster.leader(0).await;
+    cluster
+        .state_where(leader, "five hosts vote", |it| {
+            it.members.iter().filter(|it| it.role != "learner").count() == 5
+        })
+        .await;
+    cluster.kill(leader);
+    let other = (leader + 1) % 3;
+    cluster.kill(other);
+    let left = (leader + 2) % 3;
+    cluster.set(left, "caller", "after").await;
+}
