--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -1,7 +1,7 @@
 //! What operators and targets tell a control host through an interface of another protocol.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -51,6 +51,7 @@
     pub async fn renew(&self) {
         loop {
             tokio::time::sleep(RENEW_INTERVAL).await;
+            self.forget_unknown();
             let mut heard = std::mem::take(&mut *self.renewed.lock());
             heard.sort();
             heard.dedup();
@@ -64,6 +65,12 @@
         }
     }
 
+    /// Forgets the calls of targets that were removed.
+    fn forget_unknown(&self) {
+        let known: HashSet<_> = self.host.read(|it| it.config.targets.keys().cloned().collect());
+        self.newest.lock().retain(|name, _| known.contains(name));
+    }
+
     /// Takes an announcement; `call` grows with each call of one process. A change is committed before this returns.
     pub async fn announce(&self, target: Target, call: u64) -> Result<()> {
         if !self.is_newest(&target, call) {
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -229,7 +229,7 @@
     });
     let costs = usable.filter_map(|it| {
         let standing = it.standing.lock();
-        let free = standing.running() < service.connections;
+        let free = standing.running() < service.connections && it.cold.lock().allows(now);
         let cost = it.pool.round_trip() + standing.cost(usual, it.slots, now);
         free.then(|| (it, cost.mul_f64(1.0 + rng.random_range(0.0..JITTER))))
     });
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -143,6 +143,7 @@
     let (tx, outcome) = oneshot::channel();
     let at = Instant::now();
     target.standing.lock().start(at);
+    target.cold.lock().count(at);
     let started = Started { target: target.clone(), at };
     let request = query.leash.clone();
     let (host, query) = (host.clone(), query.clone());
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,6 +6,7 @@
 
 mod call;
 mod choice;
+mod cold;
 mod directory;
 mod exchange;
 mod follow;
@@ -24,10 +25,11 @@
 mod view;
 
 pub use choice::{Observed, Standing};
+pub use cold::{Access, Cold};
 pub use directory::Asker;
 pub use gather::merge;
 pub use host::Host;
 pub use run::{run, start};
 pub use settings::{Headers, Settings};
 pub use typical::Typical;
-pub use view::SERVICE_LABEL;
+pub use view::{COLD_LABEL, SERVICE_LABEL};
--- a/src/relay/target.rs
+++ b/src/relay/target.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 
 use crate::{
-    relay::{choice::Standing, pool::Pool},
+    relay::{choice::Standing, cold::Cold, pool::Pool},
     state,
 };
 
@@ -24,6 +24,7 @@
     pub(super) slots: u32,
     pub(super) pool: Pool,
     pub(super) standing: Mutex<Standing>,
+    pub(super) cold: Mutex<Cold>,
     usable: AtomicBool,
 }
 
@@ -37,6 +38,7 @@
             slots: target.slots,
             pool: Pool::new(target.addr, round_trip),
             standing: Mutex::new(Standing::new(Instant::now())),
+            cold: Mutex::default(),
             usable: AtomicBool::new(false),
         }
     }
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -9,19 +9,25 @@
 use parking_lot::Mutex;
 
 use crate::{
-    policy::budget::Budget,
-    relay::{settings::Settings, target::Target, typical::Typical},
+    policy::{budget::Budget, ownership},
+    relay::{cold::Access, settings::Settings, target::Target, typical::Typical},
     route,
-    state::{Config, Node, ObjectKind, Phase},
+    state::{self, Config, Node, NodeView, ObjectKind, Phase},
 };
 
 /// The label of a target that names its service.
 pub const SERVICE_LABEL: &str = "service";
 
+/// The label of a target in a cold start, with the value `true`.
+pub const COLD_LABEL: &str = "cold";
+
 /// The part of a target's connections that all hosts together use. After a loss of power a target still counts the
 /// connections of the processes that were lost.
 const CONNECTION_SHARE: f64 = 0.5;
 
+/// Limits are given in thousandths.
+const MILLIS: u64 = 1_000;
+
 /// A service of a view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) struct ServiceKey(usize);
@@ -109,6 +115,7 @@
         let mut known = HashSet::new();
         let mut by_service: BTreeMap<String, Vec<Arc<Target>>> = BTreeMap::new();
         let own_region = self.cfg.region(&self.cfg.zone).to_owned();
+        let nodes: Vec<_> = config.nodes.values().map(candidate).collect();
         for target in config.targets.values() {
             let key = (target.name.clone(), target.incarnation);
             let region = self.cfg.region(&target.zone);
@@ -118,6 +125,7 @@
             let drained = config.has_label(ObjectKind::Zone, &target.zone, "drain", "true");
             let usable = target.phase == Phase::Serving && !drained;
             shared.set_usable(usable);
+            shared.cold.lock().set(self.access(config, target, &nodes));
             if let Some(service) = target.labels.get(SERVICE_LABEL)
                 && usable
             {
@@ -134,6 +142,23 @@
         by_service
     }
 
+    /// Who may send to a target. Only the owner sends to one in a cold start, if its limit is known.
+    fn access(&self, config: &Config, target: &state::Target, nodes: &[NodeView]) -> Access {
+        let is_cold = target.labels.get(COLD_LABEL).is_some_and(|it| it == "true");
+        let service = target.labels.get(SERVICE_LABEL);
+        let service = service.and_then(|it| config.routes.services.get(it));
+        let limit = service.map_or(0, |it| it.cold_millis_per_s);
+        if !is_cold || limit == 0 {
+            return Access::Open;
+        }
+        let owner = ownership::owner(&target.name, &target.zone, nodes);
+        let owns = owner.is_some_and(|it| nodes[it.0 as usize].name == self.cfg.name);
+        if !owns {
+            return Access::Closed;
+        }
+        Access::Limited(usize::try_from((limit / MILLIS).max(1)).unwrap_or(1))
+    }
+
     /// Each host gets an equal part of the burst, and starts with none of it: another process of this host may have
     /// used it just before.
     fn budget(&mut self, service: &str, nodes: usize) -> Arc<Mutex<Budget>> {
@@ -151,6 +176,17 @@
     }
 }
 
+fn candidate(node: &Node) -> NodeView {
+    NodeView {
+        name: node.name.clone(),
+        incarnation: node.incarnation,
+        http: node.http,
+        rpc: node.rpc,
+        zone: node.zone.clone(),
+        usable: !node.leaving,
+    }
+}
+
 fn connections(max: u32, nodes: usize) -> usize {
     let share = f64::from(max) * CONNECTION_SHARE / nodes.max(1) as f64;
     (share.round() as usize).max(1)
--- /dev/null
+++ b/tests/relay/cold.rs
@@ -0,0 +1,94 @@
+//! The limit of targets in a cold start.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use gentianpass::{
+    policy::ownership,
+    relay::{Access, COLD_LABEL, Cold, SERVICE_LABEL},
+    route::{Kind, Service},
+    state::{Change, Node, NodeView, Target},
+};
+use hyper::StatusCode;
+
+use crate::support::{Behaviour, Bench, Server, record, single, target};
+
+#[test]
+fn allows_any_window() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut cold = Cold::default();
+    cold.set(Access::Limited(2));
+    for ms in [0, 600] {
+        assert!(cold.allows(at(ms)));
+        cold.count(at(ms));
+    }
+    assert!(!cold.allows(at(900)));
+    assert!(!cold.allows(at(1_000)));
+    assert!(cold.allows(at(1_001)));
+    cold.count(at(1_001));
+    assert!(!cold.allows(at(1_500)), "two were sent in the last second");
+    cold.set(Access::Closed);
+    assert!(!cold.allows(at(9_000)));
+    cold.set(Access::Open);
+    assert!(cold.allows(at(9_000)));
+}
+
+/// A relay and a cold target that bears 2 requests per second.
+async fn cold() -> (Bench, Server) {
+    let bench = Bench::start().await;
+    let server = Server::start(Behaviour::Answer(record(1))).await;
+    let labels = [(SERVICE_LABEL, "s"), (COLD_LABEL, "true")];
+    let labels: BTreeMap<_, _> =
+        labels.into_iter().map(|(key, value)| (key.to_owned(), value.to_owned())).collect();
+    let cold = Target { labels, ..target("near", "s", "near", server.addr) };
+    bench.control.apply(Change::PutTarget(cold));
+    let service = Service { max_connections: 64, cold_millis_per_s: 2_000 };
+    bench.route_with(vec![single(Kind::Idempotent)], &service).await;
+    (bench, server)
+}
+
+/// Guards against a target in a cold start that gets the load of a warm one.
+#[tokio::test]
+async fn limited_by_its_owner() {
+    let (bench, server) = cold().await;
+    let start = Instant::now();
+    let mut answered = 0;
+    for _ in 0..5 {
+        match bench.get("/one/x").await.0 {
+            StatusCode::OK => answered += 1,
+            status => assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "it did not run"),
+        }
+    }
+    assert_eq!(server.served(), answered);
+    let most = 2 * (1 + start.elapsed().as_secs() as usize);
+    assert!((2..=most).contains(&answered), "{answered} in {:?}", start.elapsed());
+}
+
+/// Guards against hosts that each send what all together may.
+#[tokio::test]
+async fn closed_for_others() {
+    let (bench, server) = cold().await;
+    let addr = ([127, 0, 0, 1], 9).into();
+    let view = |name: &str| NodeView {
+        name: name.into(),
+        incarnation: 1,
+        http: addr,
+        rpc: addr,
+        zone: "near".into(),
+        usable: true,
+    };
+    let owns = |name: &String| {
+        let owner = ownership::owner("near", "near", &[view("relay-1"), view(name)]);
+        owner.is_some_and(|it| it.0 == 1)
+    };
+    let name = (2..).map(|it| format!("relay-{it}")).find(owns).unwrap();
+    let zone = "near".to_owned();
+    let node = Node { name, incarnation: 1, http: addr, rpc: addr, zone, leaving: false };
+    bench.control.apply(Change::PutNode(node));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(bench.get("/one/x").await.0, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(server.served(), 0);
+}
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! A relay between stand-ins: what callers get, and what reaches targets.
 
 mod choice;
+mod cold;
 mod gather;
 mod single;
 mod support;
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -204,8 +204,12 @@
 
     /// Puts routes in force and waits until requests are routed.
     pub async fn route(&self, routes: Vec<Route>) {
+        self.route_with(routes, &Service { max_connections: 64, cold_millis_per_s: 0 }).await;
+    }
+
+    /// Like [`Self::route`], with these settings of each service.
+    pub async fn route_with(&self, routes: Vec<Route>, service: &Service) {
         let services = routes.iter().flat_map(Route::services);
-        let service = Service { max_connections: 64, cold_millis_per_s: 0 };
         let services = services.map(|it| (it.to_owned(), service.clone())).collect();
         let version = self.control.tables.lock().config.routes.version + 1;
         let limits = Limits::default();
