--- a/src/relay/directory.rs
+++ b/src/relay/directory.rs
@@ -18,6 +18,15 @@
     pub region: String,
 }
 
+/// How far a host is for a caller, the nearest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Distance {
+    SameZone,
+    SameRegion,
+    NearThisHost,
+    Far,
+}
+
 impl Host {
     /// The addresses of the nearest hosts for a caller; none if this host knows too little. A caller of another zone
     /// asks here only if nothing answers in its own, so it gets hosts that are near this one.
@@ -33,22 +42,24 @@
             homes.is_empty() || region == asker.region || homes.contains(&region)
         };
         let serving: Vec<_> = view.nodes.iter().filter(|it| !it.leaving && allowed(it)).collect();
+        let nearest = serving.iter().map(|it| self.distance(it, asker)).min()?;
+        let near = serving.iter().filter(|it| self.distance(it, asker) == nearest);
+        Some(near.map(|it| it.http).take(MAX_ADDRESSES).collect())
+    }
+
+    /// How far a host is for a caller.
+    fn distance(&self, node: &Node, asker: &Asker) -> Distance {
         let own = &self.cfg.zone;
-        let own_region = self.cfg.region(own);
-        let nearness: [&dyn Fn(&Node) -> bool; 4] = [
-            &|it| it.zone == *own && asker.zone == *own,
-            &|it| region(it) == asker.region && asker.region == own_region,
-            &|it| it.zone == *own,
-            &|_| true,
-        ];
-        let near = nearness.iter().find_map(|is_near| {
-            let found: Vec<_> = serving.iter().filter(|it| is_near(it)).map(|it| it.http).collect();
-            (!found.is_empty()).then_some(found)
-        });
-        near.map(|mut it| {
-            it.truncate(MAX_ADDRESSES);
-            it
-        })
+        let region = self.cfg.region(&node.zone);
+        if node.zone == *own && asker.zone == *own {
+            Distance::SameZone
+        } else if region == asker.region && region == self.cfg.region(own) {
+            Distance::SameRegion
+        } else if node.zone == *own {
+            Distance::NearThisHost
+        } else {
+            Distance::Far
+        }
     }
 
     /// How long an answer may be kept, in seconds.
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -40,10 +40,8 @@
     pub headers: Headers,
     /// How many repeated sub-requests all hosts together may send to a service, in percent of its requests.
     pub repeat_percent: u64,
-    /// How many more they may send within [`Settings::repeat_window`].
+    /// How many more they may send at once.
     pub repeat_burst: u32,
-    /// The window in which repeated sub-requests are counted.
-    pub repeat_window: Duration,
     /// How long callers keep a list of hosts.
     pub list_ttl: Duration,
     /// The time from a request to stop until the process is killed.
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -187,7 +187,6 @@
             headers: headers(),
             repeat_percent: 100,
             repeat_burst: 100,
-            repeat_window: Duration::from_secs(10),
             list_ttl: Duration::from_secs(1),
             grace: Duration::from_secs(2),
         });
