--- a/src/lab/fleet/process.rs
+++ b/src/lab/fleet/process.rs
@@ -9,7 +9,7 @@
 };
 
 use eyre::WrapErr;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process};
 
 /// The pause between two looks at a process that is about to end.
 const POLL_PAUSE: Duration = Duration::from_millis(5);
@@ -58,9 +58,15 @@
         self.signal(Signal::TERM)
     }
 
-    /// Freezes the process (SIGSTOP).
+    /// Freezes the process (SIGSTOP) and waits until all its threads have stopped. The signal alone is not enough: the
+    /// other threads go on until the one that takes it is scheduled.
     pub fn freeze(&mut self) -> io::Result<()> {
-        self.signal(Signal::STOP)
+        self.signal(Signal::STOP)?;
+        let stopped_or_ended = WaitIdOptions::STOPPED | WaitIdOptions::EXITED;
+        let pid = WaitId::Pid(Pid::from_child(&self.child));
+        // The exit status is left for the next look at the process.
+        rustix::process::waitid(pid, stopped_or_ended | WaitIdOptions::NOWAIT)?;
+        Ok(())
     }
 
     /// Lets a frozen process go on (SIGCONT).
@@ -109,8 +115,9 @@
 
     fn signal(&mut self, signal: Signal) -> io::Result<()> {
         // A process that has ended and was waited for has lost its id, which may belong to another one.
-        if self.ended()?.is_some() {
-            return Err(io::Error::new(io::ErrorKind::NotFound, "the process has ended"));
+        if let Some(status) = self.ended()? {
+            let message = format!("the process has ended ({status}): {}", self.log_tail());
+            return Err(io::Error::new(io::ErrorKind::NotFound, message));
         }
         let pid = Pid::from_child(&self.child);
         Ok(kill_process(pid, signal)?)
--- a/tests/lab/fleet.rs
+++ b/tests/lab/fleet.rs
@@ -64,3 +64,24 @@
     assert!(!exists(old) && exists(host.process.id()) && !file.exists());
     fleet.until_healthy(Duration::from_secs(10)).await.expect("healthy");
 }
+
+/// The states of all threads of a process.
+fn states(id: u32) -> Vec<char> {
+    let tasks = std::fs::read_dir(format!("/proc/{id}/task")).expect("process");
+    let stats = tasks.map(|it| std::fs::read_to_string(it.expect("thread").path().join("stat")));
+    let state = |stat: String| stat.rsplit_once(") ").and_then(|(_, it)| it.chars().next());
+    stats.filter_map(|it| state(it.expect("stat"))).collect()
+}
+
+/// Guards against a frozen process whose threads still take requests after the call has returned.
+#[tokio::test]
+async fn freeze_waits_for_all_threads() {
+    let mut fleet = Fleet::start(plan()).await.expect("fleet");
+    let process = &mut fleet.controls[0].process;
+    for round in 0..200 {
+        process.freeze().expect("freeze");
+        let states = states(process.id());
+        assert!(states.len() > 1 && states.iter().all(|it| *it == 'T'), "{round}: {states:?}");
+        process.resume().expect("resume");
+    }
+}
