Name few hosts for each name, those in the zone that has the targets

Cause: 83 relays share 77 requests a second on the grown deployments, so each sees a request every second. Now the directory names as many hosts of a region as targets have connections for, four each and three hosts at least, chosen by rendezvous hashing, in the zones that have targets. Budget and connections are divided by these hosts.

Ruled out: parts that cross zones as the main cause of the bytes between zones; the shards alternate between the two zones of a region, so half of the parts cross wherever the request is taken.

--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -25,11 +25,18 @@
 /// connections of the processes that were lost.
 const CONNECTION_SHARE: f64 = 0.5;
 
+/// How many connections a host that serves a name needs to each target: while a target pauses, the next sub-requests
+/// must not wait for the first.
+const CONNECTIONS_WANTED: usize = 4;
+
+/// The fewest hosts of a region that serve a name: two may be lost.
+pub(super) const MIN_HOSTS: usize = 3;
+
 /// Limits are given in thousandths.
 const MILLIS: u64 = 1_000;
 
 /// A service of a view.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct ServiceKey(usize);
 
 /// A service and the targets that may get new work.
@@ -38,9 +45,18 @@
     pub(super) targets: Vec<Arc<Target>>,
     /// How many sub-requests this host may have running at one target.
     pub(super) connections: usize,
+    /// How many hosts of each region should serve it.
+    pub(super) hosts_in_region: usize,
     pub(super) repeats: Arc<Mutex<Budget>>,
 }
 
+impl Service {
+    /// Whether it has a target in this zone.
+    pub(super) fn is_in(&self, zone: &str) -> bool {
+        self.targets.iter().any(|it| it.zone == zone)
+    }
+}
+
 /// A route, resolved.
 pub(super) struct Path {
     pub(super) route: route::Route,
@@ -86,13 +102,19 @@
         let nodes: Vec<_> = config.nodes.values().cloned().collect();
         let mut services = Vec::new();
         let mut keys = HashMap::new();
+        let regions = self.regions(&nodes);
         for (name, settings) in &table.services {
+            let usable = f64::from(settings.max_connections) * CONNECTION_SHARE;
+            let hosts = (usable as usize / CONNECTIONS_WANTED).div_ceil(regions);
+            let hosts_in_region = hosts.max(MIN_HOSTS);
+            let hosts = (hosts_in_region * regions).clamp(1, nodes.len().max(1));
             keys.insert(name.as_str(), ServiceKey(services.len()));
             services.push(Service {
                 name: name.clone(),
                 targets: by_service.get(name.as_str()).cloned().unwrap_or_default(),
-                connections: connections(settings.max_connections, nodes.len()),
-                repeats: self.budget(name, nodes.len()),
+                connections: ((usable / hosts as f64).round() as usize).max(1),
+                hosts_in_region,
+                repeats: self.budget(name, hosts),
             });
         }
         let paths = table.routes.iter().map(|route| Path {
@@ -111,6 +133,12 @@
         }
     }
 
+    /// How many regions have hosts.
+    fn regions(&self, nodes: &[Node]) -> usize {
+        let regions: HashSet<_> = nodes.iter().map(|it| self.cfg.region(&it.zone)).collect();
+        regions.len().max(1)
+    }
+
     fn take_targets(&mut self, config: &Config) -> BTreeMap<String, Vec<Arc<Target>>> {
         let mut known = HashSet::new();
         let mut by_service: BTreeMap<String, Vec<Arc<Target>>> = BTreeMap::new();
@@ -161,11 +189,11 @@
 
     /// Each host gets an equal part of the burst, and starts with none of it: another process of this host may have
     /// used it just before.
-    fn budget(&mut self, service: &str, nodes: usize) -> Arc<Mutex<Budget>> {
+    fn budget(&mut self, service: &str, hosts: usize) -> Arc<Mutex<Budget>> {
         let made = || Arc::new(Mutex::new(Budget::new(self.cfg.repeat_percent, 0)));
         let budget = self.repeats.entry(service.to_owned()).or_insert_with(made);
-        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
-        budget.lock().set_burst(self.cfg.repeat_burst.checked_div(nodes).unwrap_or(0));
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+        budget.lock().set_burst(self.cfg.repeat_burst / hosts);
         budget.clone()
     }
 
@@ -186,8 +214,3 @@
         usable: !node.leaving,
     }
 }
-
-fn connections(max: u32, nodes: usize) -> usize {
-    let share = f64::from(max) * CONNECTION_SHARE / nodes.max(1) as f64;
-    (share.round() as usize).max(1)
-}
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod cold;
+mod directory;
 mod gather;
 mod single;
 mod support;
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -180,6 +180,7 @@
             zone: "near".into(),
             regions: BTreeMap::from([
                 ("near".to_owned(), "here".to_owned()),
+                ("beside".to_owned(), "here".to_owned()),
                 ("far".to_owned(), "there".to_owned()),
             ]),
             listen: addr,
