--- a/tests/control/polls.rs
+++ b/tests/control/polls.rs
@@ -94,6 +94,26 @@
     assert_eq!(reply.expect_err("too large").kind, Kind::TooLarge);
 }
 
+/// Guards against control hosts that run out of memory when all hosts start again at once and each gets all changes
+/// since the first one.
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_config_if_shorter_than_changes() {
+    const ROUNDS: u64 = 20;
+    let cluster = Cluster::start("");
+    let client = cluster.client(&[0]);
+    for round in 0..ROUNDS {
+        let target = Target { slots: 1 + round as u32, ..large_target(0) };
+        submit(&client, Change::PutTarget(target)).await.expect("applied");
+    }
+    let update = poll(&client, "entry", 0).await.expect("answer");
+    let Update::Config(config) = update else { panic!("all changes") };
+    assert_eq!((config.revision, config.targets.len()), (ROUNDS, 1));
+    let Update::Changes(last) = poll(&client, "entry", ROUNDS - 1).await.expect("answer") else {
+        panic!("the whole configuration for one change");
+    };
+    assert_eq!(last.len(), 1);
+}
+
 /// A target whose announcement has nearly 200 KB.
 fn large_target(number: u64) -> Target {
     let holding = |i: u32| {
