Delegate shards to a relay in the zone of their targets, which merges their parts

A relay hands such shards to a relay that callers of the same name use in that zone, in one message; that one asks the targets, and sends their signatures and the greatest records at the time to stop, and what comes later as it comes. A delegate that does not accept within 40 ms and the way gets no work until it answers a ping, and the shards go directly, with one attempt less if it may have sent them. The end of the connection cancels the shards.

Tests: tests/relay/delegate.rs.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -63,11 +63,12 @@
     failure: Failure,
 }
 
-/// Sends a sub-request to a service and waits for its answer.
+/// Sends a sub-request to a service and waits for its answer. At most `max_attempts` targets may run it.
 pub(super) async fn call(
     host: &Arc<Host>,
     query: &Arc<Query>,
     key: ServiceKey,
+    max_attempts: usize,
 ) -> Result<Answer, Failure> {
     let service = query.view.service(key);
     service.repeats.lock().earn(1);
@@ -103,7 +104,7 @@
                 "late"
             }
         };
-        match progress.next(query, service) {
+        match progress.next(query, service, max_attempts) {
             Some(target) => {
                 log::info!(
                     "event=repeated request={} service={} target={} cause={cause} attempt={} revision={}",
@@ -166,11 +167,14 @@
     }
 
     /// Another target, if the rules of the route and the budget allow one more.
-    fn next(&mut self, query: &Query, service: &Service) -> Option<Arc<Target>> {
-        let route = &query.path().route;
-        let repeatable = route.kind == route::Kind::Idempotent;
-        let most = if repeatable { route.max_attempts.max(1) as usize } else { 1 };
-        if self.attempts >= most
+    fn next(
+        &mut self,
+        query: &Query,
+        service: &Service,
+        max_attempts: usize,
+    ) -> Option<Arc<Target>> {
+        let repeatable = query.path().route.kind == route::Kind::Idempotent;
+        if self.attempts >= max_attempts
             || self.refusals > MAX_REFUSALS
             || self.unreachable.len() > MAX_UNREACHABLE
             || (self.failure.ran && !repeatable)
--- a/src/relay/directory.rs
+++ b/src/relay/directory.rs
@@ -1,16 +1,11 @@
 //! Which hosts a caller should use.
 
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-};
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use crate::{
-    policy::ownership,
     relay::{
         host::Host,
-        view::{MIN_HOSTS, Path},
+        view::{MIN_HOSTS, Path, ServiceKey},
     },
     state::Node,
 };
@@ -62,28 +57,26 @@
         };
         let serving: Vec<_> = view.nodes.iter().filter(|it| !it.leaving).filter(allowed).collect();
         let nearest = serving.iter().map(|it| self.distance(it, asker)).min()?;
-        let mut near = serving;
-        near.retain(|it| self.distance(it, asker) == nearest);
+        let near = serving.iter().filter(|it| self.distance(it, asker) == nearest);
+        let zones: BTreeSet<_> = near.map(|it| it.zone.as_str()).collect();
 
         let services: BTreeSet<_> = paths.iter().flat_map(|it| &it.to).copied().collect();
-        let zones: BTreeSet<_> = near.iter().map(|it| it.zone.as_str()).collect();
-        let covered =
-            |zone: &str| services.iter().filter(|it| view.service(**it).is_in(zone)).count();
-        let covered: BTreeMap<_, _> = zones.iter().map(|it| (*it, covered(it))).collect();
-        let most = covered.values().max().copied().unwrap_or(0);
-        near.sort_by_cached_key(|it| {
-            let zone = it.zone.as_str();
-            let lacks_targets = covered[zone] * ALIKE_OF < most * ALIKE;
-            let weight = ownership::weight(&asker.name, &it.name);
-            (lacks_targets, zone != asker.zone, zone, Reverse(weight))
+        let covered = |zone: &&str| {
+            let has_targets = |it: &&ServiceKey| view.service(**it).is_in(zone);
+            services.iter().filter(has_targets).count()
+        };
+        let most = zones.iter().map(covered).max().unwrap_or(0);
+        let mut zones: Vec<_> = zones.into_iter().collect();
+        zones.sort_by_cached_key(|it| {
+            let lacks_targets = covered(it) * ALIKE_OF < most * ALIKE;
+            (lacks_targets, *it != asker.zone)
         });
-        let wanted = services.iter().map(|it| view.service(*it).hosts_in_region).min();
-        let wanted = wanted.unwrap_or(MAX_ADDRESSES).clamp(MIN_HOSTS, MAX_ADDRESSES);
+        let wanted = view.hosts_wanted(services.iter()).min(MAX_ADDRESSES);
         let mut named = Vec::new();
-        for of_zone in near.chunk_by(|a, b| a.zone == b.zone) {
+        for zone in zones {
             if named.len() < MIN_HOSTS {
-                let left = wanted - named.len();
-                named.extend(of_zone.iter().take(left).map(|it| it.http));
+                let hosts = view.hosts_for(&asker.name, zone, wanted - named.len());
+                named.extend(hosts.iter().map(|it| it.http));
             }
         }
         Some(named)
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -91,7 +91,8 @@
         self.0.store(true, Ordering::Relaxed);
     }
 
-    fn is_released(&self) -> bool {
+    /// Whether there is an answer.
+    pub(super) fn is_released(&self) -> bool {
         self.0.load(Ordering::Relaxed)
     }
 }
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -2,7 +2,6 @@
 
 use std::{
     convert::Infallible,
-    io,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -33,20 +32,19 @@
 /// The smallest buffer that the HTTP library takes, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
-/// Counts a request while it runs.
-struct Counted<'a>(&'a Host);
-
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::Relaxed);
+/// Accepts connections until it is dropped. Connections that are open go on.
+pub(super) async fn serve(host: Arc<Host>, listener: TcpListener) {
+    loop {
+        let stream = accept(&listener).await;
+        tokio::spawn(connection(host.clone(), stream));
     }
 }
 
-/// Accepts connections until it is dropped. Connections that are open go on.
-pub(super) async fn serve(host: Arc<Host>, listener: TcpListener) -> io::Result<()> {
+/// The next connection.
+pub(super) async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => drop(tokio::spawn(connection(host.clone(), stream))),
+            Ok((stream, _)) => return stream,
             Err(err) => {
                 log::warn!("event=accept_failed cause={err:?}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -93,8 +91,7 @@
     connection: Connection,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
-    host.running.fetch_add(1, Ordering::Relaxed);
-    let _counted = Counted(host);
+    let _counted = host.count();
     let (head, body) = request.into_parts();
     let limit = usize::try_from(host.view().limits.body_bytes).unwrap_or(usize::MAX);
     if body.is_end_stream() {
--- a/src/relay/gather.rs
+++ b/src/relay/gather.rs
@@ -12,26 +12,28 @@
     relay::{
         call::{self, Failure},
         exchange::Answer,
+        group::{self, Event},
         host::Host,
         reply::{self, Refusal},
         request::Query,
     },
     route::Shards,
+    wire::relay::{Failed, Progress},
 };
 
 /// The length of a record, in bytes.
-const RECORD_BYTES: usize = 16;
-
-/// What the shards have answered so far.
-struct Parts {
-    answers: Vec<Answer>,
-    failed: usize,
-    ran: bool,
-    cause: &'static str,
+pub(super) const RECORD_BYTES: usize = 16;
+
+/// Shards that have ended.
+#[derive(Default)]
+pub(super) struct Parts {
+    pub(super) answers: Vec<Answer>,
+    pub(super) failed: Vec<Failed>,
+    delegated: Vec<Progress>,
 }
 
-/// Asks one target of each shard. Ends when all have answered; from the moment at which waiting longer would cost more
-/// than the shards that are still out, as soon as enough have.
+/// Asks one target of each shard, or lets another relay do so. Ends when all have answered; from the moment at which
+/// waiting longer would cost more than the shards that are still out, as soon as enough have.
 pub(super) async fn run(
     host: &Arc<Host>,
     query: &Arc<Query>,
@@ -39,9 +41,12 @@
 ) -> Response<Full<Bytes>> {
     let total = shards.services.len();
     let enough = shards.enough();
-    let calls = query.path().to.iter().map(|key| call::call(host, query, *key));
-    let mut calls: FuturesUnordered<_> = calls.collect();
-    let mut parts = Parts { answers: Vec::new(), failed: 0, ran: false, cause: "" };
+    let attempts = query.max_attempts();
+    let (direct, groups) = group::divide(host, query, shards);
+    let mut calls: FuturesUnordered<_> =
+        direct.into_iter().map(|key| call::call(host, query, key, attempts)).collect();
+    let mut groups: FuturesUnordered<_> = groups.into_iter().map(|it| it.next(host)).collect();
+    let mut parts = Parts::default();
     let stop = sleep_until(query.stop_at.into());
     let give_up = sleep_until(query.give_up.into());
     tokio::pin!(stop, give_up);
@@ -50,45 +55,61 @@
         tokio::select! {
             biased;
             Some(answer) = calls.next() => parts.take(answer),
+            Some((group, event)) = groups.next() => match event {
+                Event::Progress(progress) => {
+                    parts.delegated.push(progress);
+                    if group.left > 0 {
+                        groups.push(group.next(host));
+                    }
+                }
+                // The delegate may have sent each shard to one target.
+                Event::Rejected { ran } if !ran || attempts > 1 => {
+                    let attempts = if ran { attempts - 1 } else { attempts };
+                    let keys = group.shards.iter().map(|it| query.path().to[usize::from(*it)]);
+                    calls.extend(keys.map(|key| call::call(host, query, key, attempts)));
+                }
+                Event::Rejected { .. } | Event::Lost => parts.lose(group.left, "delegate_lost"),
+            },
             () = &mut stop, if !stopping => stopping = true,
             () = &mut give_up => break "timeout",
         }
-        if parts.answers.len() + parts.failed == total {
+        if parts.ended() == total {
             break "all_ended";
         }
-        if parts.answers.len() >= enough && stopping {
+        if parts.covered() >= enough && stopping {
             break "objective";
         }
-        if total - parts.failed < enough {
+        if total - parts.ended() + parts.covered() < enough {
             break "too_few";
         }
     };
     query.leash.release();
-    if parts.answers.len() < enough {
+    if parts.covered() < enough {
         // A shard that answered or may still answer has run its part.
-        parts.ran |= !parts.answers.is_empty() || parts.failed < total;
-        let refusal = Refusal::new(end == "timeout", parts.ran, parts.cause);
+        let ran = parts.covered() > 0 || parts.ended() < total || parts.may_have_run();
+        let refusal = Refusal::new(end == "timeout", ran, parts.cause());
         host.metrics.answer(query, "refused");
         return reply::refuse(host, query, &refusal);
     }
-    let missing = total - parts.answers.len();
+    let missing = total - parts.covered();
     if missing > 0 || query.is_late(Instant::now()) {
         log::info!(
             "event=answered request={} route={} covered={} of={total} end={end} cause={:?} took_ms={} version={}",
             query.id(),
             query.path().route.name,
-            parts.answers.len(),
-            parts.cause,
+            parts.covered(),
+            parts.cause(),
             query.arrived.elapsed().as_millis(),
             query.view.version
         );
     }
     host.metrics.answer(query, if missing > 0 { "partial" } else { "full" });
-    respond(host, query, shards.top, &parts.answers, missing)
+    respond(host, query, shards.top, &parts, missing)
 }
 
 impl Parts {
-    fn take(&mut self, answer: Result<Answer, Failure>) {
+    /// Takes the end of a shard that this relay asked.
+    pub(super) fn take(&mut self, answer: Result<Answer, Failure>) {
         match answer {
             Ok(answer) if answer.status.is_success() => self.answers.push(answer),
             Ok(_) => self.fail(true, "target_refused"),
@@ -96,10 +117,42 @@
         }
     }
 
-    fn fail(&mut self, ran: bool, cause: &'static str) {
-        self.failed += 1;
-        self.ran |= ran;
-        self.cause = cause;
+    /// Notes shards that will not answer any more, and may have run.
+    pub(super) fn lose(&mut self, count: usize, cause: &str) {
+        (0..count).for_each(|_| self.fail(true, cause));
+    }
+
+    fn fail(&mut self, ran: bool, cause: &str) {
+        self.failed.push(Failed { ran, cause: cause.to_owned() });
+    }
+
+    /// How many shards have ended.
+    pub(super) fn ended(&self) -> usize {
+        let delegated: usize = self.delegated.iter().map(Progress::ended).sum();
+        self.answers.len() + self.failed.len() + delegated
+    }
+
+    /// Whether a shard that this relay asked has failed.
+    pub(super) fn has_failed(&self) -> bool {
+        !self.failed.is_empty()
+    }
+
+    fn covered(&self) -> usize {
+        let delegated: usize = self.delegated.iter().map(|it| it.signatures.len()).sum();
+        self.answers.len() + delegated
+    }
+
+    fn failures(&self) -> impl Iterator<Item = &Failed> {
+        self.failed.iter().chain(self.delegated.iter().flat_map(|it| &it.failed))
+    }
+
+    fn may_have_run(&self) -> bool {
+        self.failures().any(|it| it.ran)
+    }
+
+    /// Why the last shard failed.
+    fn cause(&self) -> &str {
+        self.failures().last().map_or("", |it| &it.cause)
     }
 }
 
@@ -107,17 +160,19 @@
     host: &Host,
     query: &Query,
     top: usize,
-    answers: &[Answer],
+    parts: &Parts,
     missing: usize,
 ) -> Response<Full<Bytes>> {
     let names = &host.cfg.headers;
-    let body = merge(answers.iter().map(|it| &it.body[..]), top);
+    let bodies = parts.answers.iter().map(|it| &it.body[..]);
+    let body = merge(bodies.chain(parts.delegated.iter().map(|it| &it.records[..])), top);
     let mut response = Response::new(Full::new(body));
     let headers = response.headers_mut();
-    let signatures: Vec<_> =
-        answers.iter().filter_map(|it| it.headers.get(&names.signature)).collect();
-    let joined = signatures.iter().map(|it| it.as_bytes()).collect::<Vec<_>>().join(&b", "[..]);
-    if let Ok(joined) = HeaderValue::from_bytes(&joined) {
+    let direct = parts.answers.iter().filter_map(|it| it.headers.get(&names.signature));
+    let delegated = parts.delegated.iter().flat_map(|it| &it.signatures);
+    let signatures: Vec<&[u8]> =
+        direct.map(HeaderValue::as_bytes).chain(delegated.map(Vec::as_slice)).collect();
+    if let Ok(joined) = HeaderValue::from_bytes(&signatures.join(&b", "[..])) {
         headers.insert(names.signatures.clone(), joined);
     }
     headers.insert(names.missing.clone(), HeaderValue::from(missing));
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -19,6 +19,7 @@
     event::{Event, Kind, Ring, unix_ms},
     metric,
     relay::{
+        link::Peers,
         metrics::Metrics,
         settings::Settings,
         view::{Builder, View},
@@ -29,6 +30,15 @@
 /// The part of the time left for which a request waits for the first routes.
 const WAIT_DIVISOR: u32 = 3;
 
+/// Counts a request while it runs.
+pub(super) struct Counted<'a>(&'a Host);
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// A relay.
 pub struct Host {
     pub(super) cfg: Arc<Settings>,
@@ -38,6 +48,8 @@
     pub(super) poll_now: Notify,
     /// Tells connections of callers that they should end.
     pub(super) closing: Notify,
+    /// The other relays.
+    pub(super) peers: Peers,
     registry: metric::Registry,
     builder: Mutex<Builder>,
     view: RwLock<Arc<View>>,
@@ -58,6 +70,7 @@
             metrics: Metrics::new(&registry),
             poll_now: Notify::new(),
             closing: Notify::new(),
+            peers: Peers::default(),
             registry,
             builder: Mutex::new(Builder::new(cfg.clone())),
             view: RwLock::default(),
@@ -107,6 +120,7 @@
         }
         let view = self.builder.lock().build(config);
         let routed = view.version > 0;
+        self.peers.retain(|addr| view.nodes.iter().any(|it| it.rpc == *addr));
         *self.view.write() = Arc::new(view);
         self.routed.send_replace(routed);
         self.events.record(Event::new(Kind::ConfigApplied, cause));
@@ -120,13 +134,19 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Counts a request until the guard is dropped.
+    pub(super) fn count(&self) -> Counted<'_> {
+        self.running.fetch_add(1, Ordering::Relaxed);
+        Counted(self)
+    }
+
     /// This host as the control state shows it.
     pub(super) fn node(&self) -> Node {
         Node {
             name: self.cfg.name.clone(),
             incarnation: self.incarnation,
             http: self.cfg.listen,
-            rpc: self.cfg.listen,
+            rpc: self.cfg.listen_peers,
             zone: self.cfg.zone.clone(),
             leaving: self.is_leaving(),
         }
--- /dev/null
+++ b/src/relay/link.rs
@@ -0,0 +1,170 @@
+//! Connections to other relays.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use parking_lot::Mutex;
+use serde::{Serialize, de::DeserializeOwned};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::wire::{
+    MAX_FRAME_BYTES,
+    relay::{Message, Reply},
+};
+
+/// A relay that does not accept a connection or a delegation within this time, beside the way there and back, is not
+/// used until it answers again. It is ten times what a busy relay needs.
+pub(super) const ACCEPT_TIMEOUT: Duration = Duration::from_millis(40);
+
+/// How often a relay that did not answer is asked again.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How long an idle connection is kept.
+const IDLE_KEPT: Duration = Duration::from_secs(10);
+
+/// The first guess of the round trip: between regions, in one zone it is shorter.
+const FIRST_ROUND_TRIP: Duration = Duration::from_millis(16);
+
+/// After this silence the kernel checks whether the other end of a connection still exists.
+const KEEPALIVE: Duration = Duration::from_secs(5);
+
+/// A connection that carries typed frames.
+pub(super) struct Link(Framed<TcpStream, LengthDelimitedCodec>);
+
+impl Link {
+    /// Frames a stream.
+    pub(super) fn new(stream: TcpStream) -> std::io::Result<Self> {
+        stream.set_nodelay(true)?;
+        let keepalive = TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE);
+        SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
+        let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+        Ok(Self(Framed::new(stream, codec)))
+    }
+
+    /// Sends a frame.
+    pub(super) async fn send<T: Serialize>(&mut self, message: &T) -> std::io::Result<()> {
+        let bytes = bincode::serialize(message).map_err(std::io::Error::other)?;
+        self.0.send(Bytes::from(bytes)).await
+    }
+
+    /// The next frame; an error if the connection has ended or the frame cannot be read.
+    pub(super) async fn receive<T: DeserializeOwned>(&mut self) -> std::io::Result<T> {
+        let ended = || std::io::Error::from(std::io::ErrorKind::UnexpectedEof);
+        let bytes = self.0.next().await.ok_or_else(ended)??;
+        bincode::deserialize(&bytes).map_err(std::io::Error::other)
+    }
+}
+
+/// Another relay.
+pub(super) struct Peer {
+    pub(super) addr: SocketAddr,
+    idle: Mutex<Vec<(Instant, Link)>>,
+    silent: AtomicBool,
+    /// The shortest time to connect, in microseconds: about one round trip.
+    round_trip_us: AtomicU64,
+}
+
+impl Peer {
+    fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            idle: Mutex::default(),
+            silent: AtomicBool::new(false),
+            round_trip_us: AtomicU64::new(FIRST_ROUND_TRIP.as_micros() as u64),
+        }
+    }
+
+    /// About the time there and back.
+    pub(super) fn round_trip(&self) -> Duration {
+        Duration::from_micros(self.round_trip_us.load(Ordering::Relaxed))
+    }
+
+    /// Whether it has not answered since it was last asked.
+    pub(super) fn is_silent(&self) -> bool {
+        self.silent.load(Ordering::Relaxed)
+    }
+
+    /// An idle connection, or a new one.
+    pub(super) async fn link(&self) -> std::io::Result<Link> {
+        let now = Instant::now();
+        while let Some((since, link)) = self.idle.lock().pop() {
+            if now.saturating_duration_since(since) < IDLE_KEPT {
+                return Ok(link);
+            }
+        }
+        let start = Instant::now();
+        let stream =
+            timeout(ACCEPT_TIMEOUT + self.round_trip(), TcpStream::connect(self.addr)).await??;
+        let took_us = start.elapsed().as_micros() as u64;
+        self.round_trip_us.fetch_min(took_us, Ordering::Relaxed);
+        Link::new(stream)
+    }
+
+    /// Keeps a connection on which nothing is outstanding.
+    pub(super) fn give_back(&self, link: Link) {
+        self.idle.lock().push((Instant::now(), link));
+    }
+
+    /// Gives the relay no more work until it answers a ping.
+    pub(super) fn suspend(self: &Arc<Self>, cause: &str) {
+        self.idle.lock().clear();
+        if self.silent.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        log::info!("event=relay_lost peer={} cause={cause:?}", self.addr);
+        // The task ends with the last other reference: the peer has left the view then.
+        let peer = Arc::downgrade(self);
+        tokio::spawn(async move {
+            loop {
+                sleep(PROBE_INTERVAL).await;
+                let Some(peer) = peer.upgrade() else { return };
+                if peer.answers().await {
+                    peer.silent.store(false, Ordering::Relaxed);
+                    log::info!("event=relay_regained peer={}", peer.addr);
+                    return;
+                }
+            }
+        });
+    }
+
+    async fn answers(&self) -> bool {
+        let asked = async {
+            let mut link = self.link().await?;
+            link.send(&Message::Ping).await?;
+            let reply: Reply = link.receive().await?;
+            self.give_back(link);
+            Ok::<_, std::io::Error>(reply == Reply::Accepted)
+        };
+        matches!(timeout(ACCEPT_TIMEOUT + 2 * self.round_trip(), asked).await, Ok(Ok(true)))
+    }
+}
+
+/// The other relays that were used, by address.
+#[derive(Default)]
+pub(super) struct Peers(Mutex<HashMap<SocketAddr, Arc<Peer>>>);
+
+impl Peers {
+    /// The relay at this address.
+    pub(super) fn get(&self, addr: SocketAddr) -> Arc<Peer> {
+        self.0.lock().entry(addr).or_insert_with(|| Arc::new(Peer::new(addr))).clone()
+    }
+
+    /// Forgets the relays that are not at these addresses.
+    pub(super) fn retain(&self, known: impl Fn(&SocketAddr) -> bool) {
+        self.0.lock().retain(|addr, _| known(addr));
+    }
+}
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -17,6 +17,8 @@
     exchange_time: HistogramVec,
     /// Repeated sub-requests by cause.
     pub(super) repeats: IntCounterVec,
+    /// Delegations that another relay did not take, by outcome.
+    pub(super) delegations: IntCounterVec,
     /// New connections to targets.
     pub(super) connections: IntCounterVec,
 }
@@ -51,6 +53,11 @@
                 "Sub-requests sent to another target",
                 &["cause"],
             ),
+            delegations: counter(
+                "gentianpass_relay_delegations_failed_total",
+                "Groups of shards that another relay did not take",
+                &["outcome"],
+            ),
             connections: counter(
                 "gentianpass_relay_connections_total",
                 "New connections to targets",
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -1,18 +1,21 @@
 //! Passes callers' requests on to targets by a table of routes: one target, or one target of each shard.
 //!
-//! Laid out by life span: `front`, `request`, `gather` and `call` live for a request, `exchange` and `pool` for a
-//! connection, `view` for a version, the rest for the process. Locks are leaves: none is taken while another is held,
+//! Laid out by life span: `front`, `request`, `gather`, `group`, `delegate` and `call` live for a request, `exchange`,
+//! `pool` and `link` for a connection, `view` for a version, the rest for the process. Locks are leaves: none is taken while another is held,
 //! and none is held over an await.
 
 mod call;
 mod choice;
 mod cold;
+mod delegate;
 mod directory;
 mod exchange;
 mod follow;
 mod front;
 mod gather;
+mod group;
 mod host;
+mod link;
 mod metrics;
 mod pool;
 mod reply;
--- a/src/relay/reply.rs
+++ b/src/relay/reply.rs
@@ -38,14 +38,14 @@
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(100);
 
 /// Why a request has no answer of a target.
-pub(super) struct Refusal {
+pub(super) struct Refusal<'a> {
     status: StatusCode,
-    cause: &'static str,
+    cause: &'a str,
 }
 
-impl Refusal {
+impl<'a> Refusal<'a> {
     /// A refusal of a request; `ran` says whether a target may have run it.
-    pub(super) fn new(timeout: bool, ran: bool, cause: &'static str) -> Self {
+    pub(super) fn new(timeout: bool, ran: bool, cause: &'a str) -> Self {
         let status = match (timeout, ran) {
             (_, false) => StatusCode::SERVICE_UNAVAILABLE,
             (true, true) => StatusCode::GATEWAY_TIMEOUT,
@@ -56,7 +56,7 @@
 }
 
 /// Tells the caller why there is no answer, and when to come back if nothing ran.
-pub(super) fn refuse(host: &Host, query: &Query, refusal: &Refusal) -> Response<Full<Bytes>> {
+pub(super) fn refuse(host: &Host, query: &Query, refusal: &Refusal<'_>) -> Response<Full<Bytes>> {
     log::info!(
         "event=refused request={} route={} status={} cause={} took_ms={} version={} revision={}",
         query.id(),
@@ -74,12 +74,8 @@
 }
 
 /// An answer of this system itself.
-pub(super) fn plain(
-    status: StatusCode,
-    cause: &'static str,
-    wait: Duration,
-) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(cause.as_bytes())));
+pub(super) fn plain(status: StatusCode, cause: &str, wait: Duration) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::copy_from_slice(cause.as_bytes())));
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
@@ -93,7 +89,7 @@
 }
 
 /// Says that no route can be used yet.
-pub(super) fn not_ready(cause: &'static str) -> Response<Full<Bytes>> {
+pub(super) fn not_ready(cause: &str) -> Response<Full<Bytes>> {
     plain(StatusCode::SERVICE_UNAVAILABLE, cause, RETRY_AFTER_DEFAULT)
 }
 
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -26,7 +26,8 @@
         target::Target,
         view::{Path, ServiceKey, View},
     },
-    route::{Part, To},
+    route::{Kind, Part, To},
+    wire::relay::Delegation,
 };
 
 /// What callers wait besides the time from the arrival of a request to its answer: the ways, and now and then a question
@@ -108,6 +109,83 @@
     }
 }
 
+impl Query {
+    /// How many targets of one service may run the request.
+    pub(super) fn max_attempts(&self) -> usize {
+        let route = &self.path().route;
+        match route.kind {
+            Kind::Idempotent => route.max_attempts.max(1) as usize,
+            Kind::AtMostOnce => 1,
+        }
+    }
+
+    /// The request as another relay gets it, which is to ask these shards until `stop_at`.
+    pub(super) fn delegation(
+        &self,
+        names: &Headers,
+        shards: Vec<u16>,
+        stop_at: Instant,
+    ) -> Delegation {
+        let now = Instant::now();
+        let left_ms = self.give_up.saturating_duration_since(now).as_millis();
+        let kept = self.headers.iter().filter(|(name, _)| *name != names.deadline);
+        let kept = kept.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()));
+        let deadline = (names.deadline.to_string(), left_ms.to_string().into_bytes());
+        Delegation {
+            version: self.view.version,
+            shards,
+            stop_us: stop_at.saturating_duration_since(now).as_micros() as u64,
+            method: self.method.to_string(),
+            uri: self.uri.to_string(),
+            headers: kept.chain([deadline]).collect(),
+            body: self.body.to_vec(),
+        }
+    }
+
+    /// Finds the route of a request and works out its times.
+    pub(super) fn resolve(
+        host: &Host,
+        view: Arc<View>,
+        connection: Connection,
+        head: Parts,
+        body: Bytes,
+        arrived: Instant,
+    ) -> Result<Self, &'static str> {
+        let Parts { method, uri, mut headers, .. } = head;
+        let authority = uri.authority().map(|it| it.as_str().to_owned());
+        let named = headers.get(HOST).and_then(|it| it.to_str().ok()).map(str::to_owned);
+        let Some(name) = named.or(authority) else { return Err("no_host") };
+        let Some(path) = view.index.find(&name, uri.path()) else { return Err("no_route") };
+        let names = &host.cfg.headers;
+        let route = &view.paths[path].route;
+        let limit = Duration::from_millis(route.timeout_ms);
+        let asked = headers.get(&names.deadline).and_then(|it| it.to_str().ok()?.parse().ok());
+        let left = asked.map_or(limit, |it| Duration::from_millis(it).min(limit));
+        let objective = Duration::from_millis(route.objective_ms).min(left);
+        let ways = match connection {
+            Connection::New => WAYS + CONNECT,
+            Connection::Kept => WAYS,
+        };
+        reply::strip(&mut headers);
+        headers.remove(EXPECT);
+        let uri = uri.path_and_query().map_or(Uri::from_static("/"), |it| Uri::from(it.clone()));
+        Ok(Self {
+            path,
+            request_id: headers.get(&names.request_id).cloned(),
+            arrived,
+            stop_at: arrived + objective - ways.min(objective / RETURN_DIVISOR),
+            give_up: arrived + left.saturating_sub(RETURN),
+            deadline: arrived + left,
+            method,
+            uri,
+            headers,
+            body,
+            leash: Arc::default(),
+            view,
+        })
+    }
+}
+
 /// Answers a request whose body has arrived.
 pub(super) async fn answer(
     host: &Arc<Host>,
@@ -119,7 +197,7 @@
     let Some(view) = host.ready_view(&head.headers).await else {
         return reply::not_ready("no_routes");
     };
-    let query = match resolve(host, view, connection, head, body, arrived) {
+    let query = match Query::resolve(host, view, connection, head, body, arrived) {
         Ok(query) => Arc::new(query),
         Err(cause) => return reply::plain(StatusCode::NOT_FOUND, cause, Duration::ZERO),
     };
@@ -145,7 +223,8 @@
 }
 
 async fn single(host: &Arc<Host>, query: &Arc<Query>, key: ServiceKey) -> Response<Full<Bytes>> {
-    let ended = timeout_at(query.give_up.into(), call::call(host, query, key)).await;
+    let called = call::call(host, query, key, query.max_attempts());
+    let ended = timeout_at(query.give_up.into(), called).await;
     query.leash.release();
     let refusal = match ended {
         Ok(Ok(answer)) => {
@@ -164,45 +243,3 @@
     host.metrics.answer(query, "refused");
     reply::refuse(host, query, &refusal)
 }
-
-fn resolve(
-    host: &Host,
-    view: Arc<View>,
-    connection: Connection,
-    head: Parts,
-    body: Bytes,
-    arrived: Instant,
-) -> Result<Query, &'static str> {
-    let Parts { method, uri, mut headers, .. } = head;
-    let authority = uri.authority().map(|it| it.as_str().to_owned());
-    let named = headers.get(HOST).and_then(|it| it.to_str().ok()).map(str::to_owned);
-    let Some(name) = named.or(authority) else { return Err("no_host") };
-    let Some(path) = view.index.find(&name, uri.path()) else { return Err("no_route") };
-    let names = &host.cfg.headers;
-    let route = &view.paths[path].route;
-    let limit = Duration::from_millis(route.timeout_ms);
-    let asked = headers.get(&names.deadline).and_then(|it| it.to_str().ok()?.parse().ok());
-    let left = asked.map_or(limit, |it| Duration::from_millis(it).min(limit));
-    let objective = Duration::from_millis(route.objective_ms).min(left);
-    let ways = match connection {
-        Connection::New => WAYS + CONNECT,
-        Connection::Kept => WAYS,
-    };
-    reply::strip(&mut headers);
-    headers.remove(EXPECT);
-    let uri = uri.path_and_query().map_or(Uri::from_static("/"), |it| Uri::from(it.clone()));
-    Ok(Query {
-        path,
-        request_id: headers.get(&names.request_id).cloned(),
-        arrived,
-        stop_at: arrived + objective - ways.min(objective / RETURN_DIVISOR),
-        give_up: arrived + left.saturating_sub(RETURN),
-        deadline: arrived + left,
-        method,
-        uri,
-        headers,
-        body,
-        leash: Arc::default(),
-        view,
-    })
-}
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     event::{Event, Kind},
-    relay::{follow::Control, front, host::Host, settings::Settings, stop},
+    relay::{delegate, follow::Control, front, host::Host, settings::Settings, stop},
 };
 
 /// Makes a relay that is not running yet.
@@ -25,7 +25,10 @@
     let listen = host.cfg.listen;
     let listener =
         TcpListener::bind(listen).await.wrap_err_with(|| format!("listener {listen}"))?;
+    let peers = host.cfg.listen_peers;
+    let peers = TcpListener::bind(peers).await.wrap_err_with(|| format!("listener {peers}"))?;
     host.events.record(Event::new(Kind::Started, format!("callers {listen}")));
+    let delegate = tokio::spawn(delegate::serve(host.clone(), peers));
     let control = Control::new(host.clone());
     let follow = tokio::spawn(async move { control.run().await });
     let front = tokio::spawn(front::serve(host.clone(), listener));
@@ -35,5 +38,6 @@
     }
     stop::run(&host, &front.abort_handle()).await;
     follow.abort();
+    delegate.abort();
     Ok(())
 }
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -34,6 +34,8 @@
     pub regions: BTreeMap<String, String>,
     /// The address for callers.
     pub listen: SocketAddr,
+    /// The address for other relays.
+    pub listen_peers: SocketAddr,
     /// The RPC addresses of control hosts that are known at the start.
     pub control: Vec<SocketAddr>,
     /// The names of headers.
@@ -49,6 +51,11 @@
 }
 
 impl Settings {
+    /// The region of this host.
+    pub fn own_region(&self) -> &str {
+        self.region(&self.zone)
+    }
+
     /// The region of an availability zone; the zone itself if it is unknown.
     pub fn region<'a>(&'a self, zone: &'a str) -> &'a str {
         self.regions.get(zone).map_or(zone, String::as_str)
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -1,6 +1,7 @@
 //! The routing view of one revision.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, HashMap, HashSet},
     sync::Arc,
     time::Duration,
@@ -45,6 +46,8 @@
     pub(super) targets: Vec<Arc<Target>>,
     /// How many sub-requests this host may have running at one target.
     pub(super) connections: usize,
+    /// The zone of the nearest targets, if that is another one in the own region.
+    pub(super) delegated_to: Option<String>,
     /// How many hosts of each region should serve it.
     pub(super) hosts_in_region: usize,
     pub(super) repeats: Arc<Mutex<Budget>>,
@@ -77,6 +80,21 @@
 }
 
 impl View {
+    /// The hosts of a zone that serve requests for a name, at most `count`: the same ones wherever they are looked up.
+    pub(super) fn hosts_for(&self, name: &str, zone: &str, count: usize) -> Vec<&Node> {
+        let mut nodes: Vec<_> =
+            self.nodes.iter().filter(|it| it.zone == zone && !it.leaving).collect();
+        nodes.sort_by_cached_key(|it| Reverse(ownership::weight(name, &it.name)));
+        nodes.truncate(count);
+        nodes
+    }
+
+    /// How many hosts of a region should serve all these services.
+    pub(super) fn hosts_wanted<'a>(&self, keys: impl Iterator<Item = &'a ServiceKey>) -> usize {
+        let wanted = keys.map(|it| self.service(*it).hosts_in_region).min();
+        wanted.unwrap_or(usize::MAX).max(MIN_HOSTS)
+    }
+
     pub(super) fn service(&self, key: ServiceKey) -> &Service {
         &self.services[key.0]
     }
@@ -109,9 +127,11 @@
             let hosts_in_region = hosts.max(MIN_HOSTS);
             let hosts = (hosts_in_region * regions).clamp(1, nodes.len().max(1));
             keys.insert(name.as_str(), ServiceKey(services.len()));
+            let targets = by_service.get(name.as_str()).cloned().unwrap_or_default();
             services.push(Service {
                 name: name.clone(),
-                targets: by_service.get(name.as_str()).cloned().unwrap_or_default(),
+                delegated_to: self.delegated_to(&targets),
+                targets,
                 connections: ((usable / hosts as f64).round() as usize).max(1),
                 hosts_in_region,
                 repeats: self.budget(name, hosts),
@@ -133,6 +153,16 @@
         }
     }
 
+    /// The zone of a service's nearest targets, if that is another one in the own region.
+    fn delegated_to(&self, targets: &[Arc<Target>]) -> Option<String> {
+        let own = &self.cfg.zone;
+        if targets.iter().any(|it| it.zone == *own) {
+            return None;
+        }
+        let near = targets.iter().filter(|it| it.region == self.cfg.own_region());
+        near.map(|it| &it.zone).min().cloned()
+    }
+
     /// How many regions have hosts.
     fn regions(&self, nodes: &[Node]) -> usize {
         let regions: HashSet<_> = nodes.iter().map(|it| self.cfg.region(&it.zone)).collect();
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -4,6 +4,7 @@
 pub mod control;
 pub mod operator;
 pub mod owner;
+pub mod relay;
 pub mod target;
 
 /// The longest frame between the processes of the system, in bytes.
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod cold;
+mod delegate;
 mod directory;
 mod gather;
 mod single;
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -40,6 +40,8 @@
 pub enum Behaviour {
     /// Answers with this body.
     Answer(Vec<u8>),
+    /// Answers with this body after this time.
+    Slow(Duration, Vec<u8>),
     /// Never answers.
     Silent,
     /// Closes the connection after it has read the request.
@@ -60,6 +62,7 @@
     pub behaviour: Arc<Mutex<Behaviour>>,
     pub requests: Arc<AtomicUsize>,
     pub headers: Arc<Mutex<Vec<HeaderMap>>>,
+    connections: Arc<AtomicUsize>,
 }
 
 impl Server {
@@ -70,7 +73,9 @@
             behaviour: Arc::new(Mutex::new(behaviour)),
             requests: Arc::default(),
             headers: Arc::default(),
+            connections: Arc::default(),
         };
+        let connections = server.connections.clone();
         let (behaviour, requests) = (server.behaviour.clone(), server.requests.clone());
         let headers = server.headers.clone();
         tokio::spawn(async move {
@@ -83,12 +88,23 @@
                     let behaviour = behaviour.lock().clone();
                     async move { respond(behaviour, &request).await }
                 });
-                tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+                let connections = connections.clone();
+                tokio::spawn(async move {
+                    connections.fetch_add(1, Ordering::SeqCst);
+                    let _ =
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                    connections.fetch_sub(1, Ordering::SeqCst);
+                });
             }
         });
         server
     }
 
+    /// How many connections are open.
+    pub fn open(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+
     pub fn served(&self) -> usize {
         self.requests.load(Ordering::SeqCst)
     }
@@ -103,6 +119,10 @@
     let signature = format!("signature-of-{}", request.headers()["expected"].to_str().unwrap());
     match behaviour {
         Behaviour::Answer(body) => *response.body_mut() = Full::new(body.into()),
+        Behaviour::Slow(time, body) => {
+            sleep(time).await;
+            *response.body_mut() = Full::new(body.into());
+        }
         Behaviour::Silent => std::future::pending().await,
         Behaviour::Disconnect => return Err(std::io::Error::other("disconnect")),
         Behaviour::Shed => {
@@ -131,10 +151,22 @@
 #[derive(Clone)]
 pub struct Control {
     tables: Arc<Mutex<Tables>>,
+    /// The host that gets no updates any more.
+    stopped: Arc<Mutex<Option<String>>>,
     revision: watch::Sender<u64>,
 }
 
 impl Control {
+    /// Tells this host about no further changes.
+    pub fn stop_updates_of(&self, name: &str) {
+        *self.stopped.lock() = Some(name.to_owned());
+    }
+
+    /// The address of a host for other hosts.
+    pub fn rpc_of(&self, name: &str) -> SocketAddr {
+        self.tables.lock().config.nodes[name].rpc
+    }
+
     pub fn apply(&self, change: Change) -> Reply {
         let mut tables = self.tables.lock();
         let base = Some(tables.config.operator_revision);
@@ -149,7 +181,7 @@
         let mut revision = self.revision.subscribe();
         let newer = revision.wait_for(|it| *it != poll.revision);
         let newer = tokio::time::timeout(Duration::from_millis(poll.wait_ms), newer).await.is_ok();
-        if !newer {
+        if !newer || self.stopped.lock().as_ref() == Some(&poll.node) {
             return Ok(Update::Changes(Vec::new()));
         }
         let config: Config = self.tables.lock().config.clone();
@@ -165,38 +197,34 @@
 pub struct Bench {
     pub addr: SocketAddr,
     pub control: Control,
+    control_addr: SocketAddr,
     pub relay: Arc<relay::Host>,
 }
 
 impl Bench {
     pub async fn start() -> Self {
-        let control = Control { tables: Arc::default(), revision: watch::Sender::new(0) };
+        let control = Control {
+            tables: Arc::default(),
+            stopped: Arc::default(),
+            revision: watch::Sender::new(0),
+        };
         let control_addr = control::serve(control.clone()).await.unwrap();
-        let probe = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let addr = probe.local_addr().unwrap();
-        drop(probe);
-        let relay = relay::start(Settings {
-            name: "relay-1".into(),
-            zone: "near".into(),
-            regions: BTreeMap::from([
-                ("near".to_owned(), "here".to_owned()),
-                ("beside".to_owned(), "here".to_owned()),
-                ("far".to_owned(), "there".to_owned()),
-            ]),
-            listen: addr,
-            control: vec![control_addr],
-            headers: headers(),
-            repeat_percent: 100,
-            repeat_burst: 100,
-            list_ttl: Duration::from_secs(1),
-            grace: Duration::from_secs(2),
-        });
-        tokio::spawn(relay::run(relay.clone()));
-        let bench = Self { addr, control, relay };
+        let (addr, relay) = start_relay("relay-1", "near", control_addr).await;
+        let bench = Self { addr, control, control_addr, relay };
         bench.until(|| std::net::TcpStream::connect(addr).is_ok()).await;
         bench
     }
 
+    /// Starts another relay and waits until this one knows it.
+    pub async fn start_beside(&self) -> (SocketAddr, Arc<relay::Host>) {
+        let started = start_relay("relay-2", "beside", self.control_addr).await;
+        let known = || self.control.tables.lock().config.nodes.contains_key("relay-2");
+        self.until(known).await;
+        self.until(|| started.1.is_ready()).await;
+        sleep(Duration::from_millis(200)).await;
+        started
+    }
+
     /// Announces a target of a service.
     pub fn announce(&self, name: &str, service: &str, zone: &str, addr: SocketAddr) {
         self.control.apply(Change::PutTarget(target(name, service, zone, addr)));
@@ -251,6 +279,34 @@
     }
 }
 
+async fn start_relay(
+    name: &str,
+    zone: &str,
+    control: SocketAddr,
+) -> (SocketAddr, Arc<relay::Host>) {
+    let (listen, listen_peers) = (free_addr().await, free_addr().await);
+    let regions = [("near", "here"), ("beside", "here"), ("far", "there")];
+    let relay = relay::start(Settings {
+        name: name.into(),
+        zone: zone.into(),
+        regions: regions.map(|(zone, region)| (zone.to_owned(), region.to_owned())).into(),
+        listen,
+        listen_peers,
+        control: vec![control],
+        headers: headers(),
+        repeat_percent: 100,
+        repeat_burst: 100,
+        list_ttl: Duration::from_secs(1),
+        grace: Duration::from_secs(2),
+    });
+    tokio::spawn(relay::run(relay.clone()));
+    (listen, relay)
+}
+
+async fn free_addr() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+}
+
 pub fn target(name: &str, service: &str, zone: &str, addr: SocketAddr) -> Target {
     Target {
         name: name.into(),
