Prefer targets of the own region that should answer within half of the time left

Ruled out: control traffic and hedges as the main part.

Test own_region_if_in_time failed before (0 near, 21 far).

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -37,6 +37,10 @@
 /// The part of the time left for which a sub-request waits for a target that is not busy.
 const MAX_WAIT_DIVISOR: u32 = 3;
 
+/// A target of the own region is taken if it should answer within this part of the time left: traffic between regions
+/// costs more than some milliseconds are worth.
+const NEAR_DIVISOR: u32 = 2;
+
 /// Costs of targets are told apart by at least this share, so that hosts do not all choose the same one.
 const JITTER: f64 = 0.05;
 
@@ -237,8 +241,15 @@
         let cost = it.pool.round_trip() + standing.cost(usual, it.slots, now);
         free.then(|| (it, cost.mul_f64(1.0 + rng.random_range(0.0..JITTER))))
     });
-    let (best, cost) = costs.min_by_key(|(_, cost)| *cost)?;
-    Some((best.clone(), cost))
+    let costs: Vec<_> = costs.collect();
+    let best = |only_near: bool| {
+        let near = |it: &&(&Arc<Target>, Duration)| !only_near || it.0.is_near;
+        costs.iter().filter(near).min_by_key(|(_, cost)| *cost).copied()
+    };
+    let soon = query.stop_at.saturating_duration_since(now) / NEAR_DIVISOR;
+    let near = best(true).filter(|(_, cost)| *cost <= soon);
+    let (target, cost) = near.or_else(|| best(false))?;
+    Some((target.clone(), cost))
 }
 
 /// How long to wait for the first target: until it is late, but not so long that another one could not answer in time.
--- a/src/relay/target.rs
+++ b/src/relay/target.rs
@@ -21,6 +21,8 @@
     pub(super) name: String,
     pub(super) zone: String,
     pub(super) region: String,
+    /// Whether it is in the region of this host.
+    pub(super) is_near: bool,
     pub(super) slots: u32,
     pub(super) pool: Pool,
     pub(super) standing: Mutex<Standing>,
@@ -30,11 +32,13 @@
 
 impl Target {
     pub(super) fn new(target: &state::Target, region: &str, own_region: &str) -> Self {
-        let round_trip = if region == own_region { NEAR } else { FAR };
+        let is_near = region == own_region;
+        let round_trip = if is_near { NEAR } else { FAR };
         Self {
             name: target.name.clone(),
             zone: target.zone.clone(),
             region: region.to_owned(),
+            is_near,
             slots: target.slots,
             pool: Pool::new(target.addr, round_trip),
             standing: Mutex::new(Standing::new(Instant::now())),
--- a/tests/relay/single.rs
+++ b/tests/relay/single.rs
@@ -150,6 +150,26 @@
     assert_eq!(bench.get("/one/x").await.0, StatusCode::OK);
 }
 
+/// Guards against traffic between regions for a few milliseconds.
+#[tokio::test]
+async fn own_region_if_in_time() {
+    let slow = Behaviour::Slow(Duration::from_millis(30), record(1));
+    let (bench, near, far) = pair(Kind::Idempotent, slow).await;
+    // Both are known to the relay, with how long they take.
+    let object = Object::new(ObjectKind::Zone, "near");
+    let drain =
+        Change::SetLabel { object: object.clone(), key: "drain".into(), value: "true".into() };
+    bench.control.apply(drain);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(bench.get("/one/x").await.0, StatusCode::OK);
+    bench.control.apply(Change::RemoveLabel { object, key: "drain".into() });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for _ in 0..20 {
+        assert_eq!(bench.get("/one/x").await.0, StatusCode::OK);
+    }
+    assert!(near.served() >= 19, "{} near, {} far", near.served(), far.served());
+}
+
 #[tokio::test]
 async fn drained_zone_unused() {
     let (bench, near, far) = pair(Kind::Idempotent, Behaviour::Answer(record(1))).await;
