Ask targets again that did not run a request, for a third of the time left

Ruled out: the limit of attempts (refusals do not count) and the budget.

Tests all_shed_for_a_moment (failed before) and all_shed.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -34,6 +34,9 @@
 const BUSY_PAUSE: Duration = Duration::from_millis(2);
 const LATE_PAUSE: Duration = Duration::from_millis(15);
 
+/// The first pause before targets that refused a request are asked again; it doubles each time.
+const REFUSED_PAUSE: Duration = Duration::from_millis(25);
+
 /// The part of the time left for which a sub-request waits for a target that is not busy.
 const MAX_WAIT_DIVISOR: u32 = 3;
 
@@ -123,8 +126,15 @@
                 progress.attempts += 1;
                 running.push(exchange::start(host, query, &leash, &target).end());
             }
-            None if running.is_empty() => return Err(progress.failure),
-            None => {}
+            None if !running.is_empty() => {}
+            None => {
+                let Some(target) = progress.wait(query, service, max_attempts).await else {
+                    return Err(progress.failure);
+                };
+                progress.tried.push(target.clone());
+                progress.attempts += 1;
+                running.push(exchange::start(host, query, &leash, &target).end());
+            }
         }
     }
 }
@@ -193,6 +203,30 @@
 }
 
 impl Progress {
+    /// Waits until a target that did not run the request may be asked again, if all were asked and none has run it.
+    async fn wait(
+        &mut self,
+        query: &Query,
+        service: &Service,
+        max_attempts: usize,
+    ) -> Option<Arc<Target>> {
+        let now = Instant::now();
+        let end = now + query.give_up.saturating_duration_since(now) / MAX_WAIT_DIVISOR;
+        let mut pause = REFUSED_PAUSE;
+        while !self.failure.ran && Instant::now() + pause < end {
+            sleep(pause).await;
+            pause *= 2;
+            self.tried.clear();
+            self.unreachable.clear();
+            self.refusals = 0;
+            self.replaces = false;
+            if let Some(target) = self.next(query, service, max_attempts) {
+                return Some(target);
+            }
+        }
+        None
+    }
+
     fn has_tried(&self, target: &Arc<Target>) -> bool {
         self.tried.iter().any(|it| Arc::ptr_eq(it, target))
     }
--- a/tests/relay/single.rs
+++ b/tests/relay/single.rs
@@ -170,6 +170,36 @@
     assert!(near.served() >= 19, "{} near, {} far", near.served(), far.served());
 }
 
+/// Guards against a request that is given up because all targets were full for a moment.
+#[tokio::test]
+async fn all_shed_for_a_moment() {
+    let (bench, near, far) = pair(Kind::AtMostOnce, Behaviour::Answer(record(1))).await;
+    // The budget for repeated requests comes from these.
+    for _ in 0..10 {
+        assert_eq!(bench.get("/one/x").await.0, StatusCode::OK);
+    }
+    *near.behaviour.lock() = Behaviour::Shed;
+    *far.behaviour.lock() = Behaviour::Shed;
+    let behaviour = near.behaviour.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(120)).await;
+        *behaviour.lock() = Behaviour::Answer(record(1));
+    });
+    assert_eq!(bench.get("/one/x").await.0, StatusCode::OK);
+}
+
+/// Guards against a request that waits without end for targets that are full.
+#[tokio::test]
+async fn all_shed() {
+    let (bench, _near, far) = pair(Kind::Idempotent, Behaviour::Shed).await;
+    *far.behaviour.lock() = Behaviour::Shed;
+    let start = std::time::Instant::now();
+    let (status, headers, _) = bench.get("/one/x").await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(headers.contains_key(RETRY_AFTER));
+    assert!(start.elapsed() < Duration::from_millis(1_200), "{:?}", start.elapsed());
+}
+
 #[tokio::test]
 async fn drained_zone_unused() {
     let (bench, near, far) = pair(Kind::Idempotent, Behaviour::Answer(record(1))).await;
