Refuse requests that crash the targets which run them

Cause: a relay had no memory of them, so each attempt of a caller cost two targets more, at any host (docs/platform.md listed it as open). Now a broken connection to a target that listens no more counts as a crash; two targets of one service crashed by one request are reported to the control hosts, which hold the quarantine already, and all relays refuse the request as not run. Ruled out as signs of a crash: a broken connection alone (an answer that is lost looks alike), and crashes of targets of different shards (many crash at one moment). Tests: tests/relay/suspect.rs.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -11,9 +11,10 @@
 
 use crate::{
     relay::{
-        exchange::{self, Answer, Leash, Outcome, Refused},
+        exchange::{self, Answer, Broken, Leash, Outcome, Refused},
         host::Host,
         request::Query,
+        suspect,
         target::Target,
         view::{Service, ServiceKey},
     },
@@ -98,6 +99,9 @@
     loop {
         let cause = tokio::select! {
             Some((target, outcome)) = running.next() => {
+                if matches!(outcome, Outcome::Unknown(Broken::Disconnected)) {
+                    suspect::disconnected(host, query, &service.name, &target);
+                }
                 match progress.take(query, &target, outcome) {
                     Ok(answer) => {
                         leash.release();
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -57,6 +57,9 @@
                 members_at = Instant::now() + MEMBERS_INTERVAL;
                 self.find_members(&mut follower).await;
             }
+            if reachable {
+                self.report(&follower).await;
+            }
             if reachable
                 && !self.joined(&config)
                 && let Err(err) = self.join(&follower).await
@@ -108,6 +111,17 @@
         follower.prefer_first();
     }
 
+    /// Tells the control hosts which requests crash targets.
+    async fn report(&self, follower: &Follower) {
+        for change in self.host.suspects.take_unreported() {
+            let reported = follower.client().submit(None, change.clone(), JOIN_TIMEOUT).await;
+            if let Err(err) = reported {
+                log::warn!("event=report_failed cause={:?}", err.to_string());
+                self.host.suspects.keep_unreported(change);
+            }
+        }
+    }
+
     fn joined(&self, config: &Config) -> bool {
         let host = &self.host;
         config
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -22,6 +22,7 @@
         link::Peers,
         metrics::Metrics,
         settings::Settings,
+        suspect::Suspects,
         view::{Builder, View},
     },
     state::{Config, Node},
@@ -50,6 +51,8 @@
     pub(super) closing: Notify,
     /// The other relays.
     pub(super) peers: Peers,
+    /// Requests that crash targets.
+    pub(super) suspects: Suspects,
     registry: metric::Registry,
     builder: Mutex<Builder>,
     view: RwLock<Arc<View>>,
@@ -71,6 +74,7 @@
             poll_now: Notify::new(),
             closing: Notify::new(),
             peers: Peers::default(),
+            suspects: Suspects::default(),
             registry,
             builder: Mutex::new(Builder::new(cfg.clone())),
             view: RwLock::default(),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -23,6 +23,7 @@
 mod run;
 mod settings;
 mod stop;
+mod suspect;
 mod target;
 mod typical;
 mod view;
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// The address of the target.
+    pub(super) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// About the time to the target and back.
     pub(super) fn round_trip(&self) -> Duration {
         Duration::from_micros(self.round_trip_us.load(Ordering::Relaxed) as u64)
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout_at;
 
 use crate::{
+    policy::canary,
     relay::{
         call,
         exchange::{Leash, Outgoing},
@@ -93,6 +94,17 @@
         now > self.arrived + self.objective()
     }
 
+    /// Identifies requests that do the same.
+    pub(super) fn fingerprint(&self) -> u64 {
+        let text = format!("{} {}", self.uri, String::from_utf8_lossy(&self.body));
+        canary::fingerprint(&self.path().route.host, self.method.as_str(), &text)
+    }
+
+    fn is_quarantined(&self) -> bool {
+        let quarantine = &self.view.quarantine;
+        !quarantine.is_empty() && quarantine.contains(&self.fingerprint())
+    }
+
     /// The request as one target gets it.
     pub(super) fn to_target(&self, names: &Headers, target: &Target) -> Outgoing {
         let mut request = Outgoing::new(Full::new(self.body.clone()));
@@ -201,6 +213,10 @@
         Ok(query) => Arc::new(query),
         Err(cause) => return reply::plain(StatusCode::NOT_FOUND, cause, Duration::ZERO),
     };
+    if query.is_quarantined() {
+        host.metrics.answer(&query, "quarantined");
+        return reply::refuse(host, &query, &Refusal::new(false, false, "quarantined"));
+    }
     match &query.path().route.to {
         To::Shards(shards) => gather::run(host, &query, shards).await,
         To::Service(_) => single(host, &query, query.path().to[0]).await,
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -76,6 +76,8 @@
     pub(super) paths: Vec<Path>,
     pub(super) index: route::Index,
     pub(super) nodes: Vec<Node>,
+    /// Requests that have crashed targets and are refused, by fingerprint.
+    pub(super) quarantine: HashSet<u64>,
     services: Vec<Service>,
 }
 
@@ -149,6 +151,7 @@
             paths: paths.collect(),
             index: route::Index::new(table),
             nodes,
+            quarantine: config.quarantine().collect(),
             services,
         }
     }
--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -199,6 +199,11 @@
             .is_some_and(|it| it == value)
     }
 
+    /// The requests that are refused because they have crashed targets, in the order of their fingerprints.
+    pub fn quarantine(&self) -> impl Iterator<Item = u64> {
+        self.suspects.keys().copied().filter(|&it| self.quarantined(it))
+    }
+
     /// Whether a request fingerprint is blocked at this moment of the control log's clock.
     pub fn quarantined(&self, fingerprint: u64) -> bool {
         self.suspects.get(&fingerprint).is_some_and(|it| it.targets.len() >= QUARANTINE_TARGETS)
--- a/src/state/view.rs
+++ b/src/state/view.rs
@@ -106,12 +106,7 @@
             selectors: config.selectors.values().cloned().collect(),
             callers: labels_by_name(config, ObjectKind::Caller),
             kinds: labels_by_name(config, ObjectKind::Kind),
-            quarantine: config
-                .suspects
-                .keys()
-                .copied()
-                .filter(|&it| config.quarantined(it))
-                .collect(),
+            quarantine: config.quarantine().collect(),
             suspects: config
                 .suspects
                 .iter()
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -7,3 +7,4 @@
 mod gather;
 mod single;
 mod support;
+mod suspect;
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -28,7 +28,7 @@
 use parking_lot::Mutex;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{Notify, watch},
     time::sleep,
 };
 
@@ -50,6 +50,8 @@
     Shed,
     /// Is another process than the one expected.
     WrongProcess,
+    /// Crashes: closes all connections and listens no more.
+    Crash,
     /// Fails.
     Fail,
     /// Answers with the id of another request.
@@ -79,13 +81,22 @@
         let (behaviour, requests) = (server.behaviour.clone(), server.requests.clone());
         let headers = server.headers.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            let crashed = Arc::new(Notify::new());
+            loop {
+                let stream = tokio::select! {
+                    accepted = listener.accept() => accepted.unwrap().0,
+                    () = crashed.notified() => break,
+                };
+                let crashed = crashed.clone();
                 let behaviour = behaviour.clone();
                 let (requests, headers) = (requests.clone(), headers.clone());
                 let service = service_fn(move |request: Request<Incoming>| {
                     requests.fetch_add(1, Ordering::SeqCst);
                     headers.lock().push(request.headers().clone());
                     let behaviour = behaviour.lock().clone();
+                    if matches!(behaviour, Behaviour::Crash) {
+                        crashed.notify_one();
+                    }
                     async move { respond(behaviour, &request).await }
                 });
                 let connections = connections.clone();
@@ -124,7 +135,9 @@
             *response.body_mut() = Full::new(body.into());
         }
         Behaviour::Silent => std::future::pending().await,
-        Behaviour::Disconnect => return Err(std::io::Error::other("disconnect")),
+        Behaviour::Disconnect | Behaviour::Crash => {
+            return Err(std::io::Error::other("disconnect"));
+        }
         Behaviour::Shed => {
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             response.headers_mut().insert("not-run", "1".parse().unwrap());
