--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -43,7 +43,7 @@
 
 /// A target of the own region is taken if it should answer within this part of the time left: traffic between regions
 /// costs more than some milliseconds are worth.
-const NEAR_DIVISOR: u32 = 2;
+const NEAR_DIVISOR: u32 = 3;
 
 /// Costs of targets are told apart by at least this share, so that hosts do not all choose the same one.
 const JITTER: f64 = 0.05;
