--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -44,6 +44,8 @@
     pub repeat_percent: u64,
     /// How many more they may send at once.
     pub repeat_burst: u32,
+    /// How many they may send to a service before it has had any requests, all processes that start together.
+    pub repeat_first: u32,
     /// How long callers keep a list of hosts.
     pub list_ttl: Duration,
     /// The time from a request to stop until the process is killed.
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -122,12 +122,13 @@
         let nodes: Vec<_> = config.nodes.values().cloned().collect();
         let mut services = Vec::new();
         let mut keys = HashMap::new();
-        let regions = self.regions(&nodes);
+        let regions = self.regions();
         for (name, settings) in &table.services {
             let usable = f64::from(settings.max_connections) * CONNECTION_SHARE;
             let hosts = (usable as usize / CONNECTIONS_WANTED).div_ceil(regions);
             let hosts_in_region = hosts.max(MIN_HOSTS);
-            let hosts = (hosts_in_region * regions).clamp(1, nodes.len().max(1));
+            let planned = hosts_in_region * regions;
+            let hosts = planned.min(nodes.len().max(1));
             keys.insert(name.as_str(), ServiceKey(services.len()));
             let targets = by_service.get(name.as_str()).cloned().unwrap_or_default();
             services.push(Service {
@@ -136,7 +137,7 @@
                 targets,
                 connections: ((usable / hosts as f64).round() as usize).max(1),
                 hosts_in_region,
-                repeats: self.budget(name, hosts),
+                repeats: self.budget(name, hosts, planned),
             });
         }
         let paths = table.routes.iter().map(|route| Path {
@@ -166,9 +167,8 @@
         near.map(|it| &it.zone).min().cloned()
     }
 
-    /// How many regions have hosts.
-    fn regions(&self, nodes: &[Node]) -> usize {
-        let regions: HashSet<_> = nodes.iter().map(|it| self.cfg.region(&it.zone)).collect();
+    fn regions(&self) -> usize {
+        let regions: HashSet<_> = self.cfg.regions.values().collect();
         regions.len().max(1)
     }
 
@@ -220,10 +220,12 @@
         Access::Limited(usize::try_from((limit / MILLIS).max(1)).unwrap_or(1))
     }
 
-    /// Each host gets an equal part of the burst, and starts with none of it: another process of this host may have
-    /// used it just before.
-    fn budget(&mut self, service: &str, hosts: usize) -> Arc<Mutex<Budget>> {
-        let made = || Arc::new(Mutex::new(Budget::new(self.cfg.repeat_percent, 0)));
+    /// Each host gets an equal part of the burst. It starts with none of it, because another process of this host may
+    /// have used it just before, but with a part of what is kept for such starts. A host that has just started knows
+    /// only some of the `planned` hosts.
+    fn budget(&mut self, service: &str, hosts: usize, planned: usize) -> Arc<Mutex<Budget>> {
+        let first = self.cfg.repeat_first / u32::try_from(planned).unwrap_or(u32::MAX);
+        let made = || Arc::new(Mutex::new(Budget::new(self.cfg.repeat_percent, first)));
         let budget = self.repeats.entry(service.to_owned()).or_insert_with(made);
         let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
         budget.lock().set_burst(self.cfg.repeat_burst / hosts);
--- a/tests/relay/single.rs
+++ b/tests/relay/single.rs
@@ -170,6 +170,24 @@
     assert!(near.served() >= 19, "{} near, {} far", near.served(), far.served());
 }
 
+/// Guards against hosts that may not ask a second target until they have had several requests. Two regions with four
+/// hosts each share the first eight repeats.
+#[tokio::test]
+async fn first_request_hedged() {
+    let bench = Bench::start_with(|it| {
+        (it.repeat_percent, it.repeat_burst, it.repeat_first) = (17, 16, 8);
+    })
+    .await;
+    let near = Server::start(Behaviour::Silent).await;
+    let far = Server::start(Behaviour::Answer(record(2))).await;
+    bench.announce("near", "s", "near", near.addr);
+    bench.announce("far", "s", "far", far.addr);
+    bench.route(vec![single(Kind::Idempotent)]).await;
+    let start = std::time::Instant::now();
+    assert_eq!(bench.get("/one/x").await.0, StatusCode::OK);
+    assert!(start.elapsed() < Duration::from_millis(1_000), "{:?}", start.elapsed());
+}
+
 /// Guards against a request that is given up because all targets were full for a moment.
 #[tokio::test]
 async fn all_shed_for_a_moment() {
