--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -12,7 +12,6 @@
     header::{EXPECT, HOST, HeaderValue},
     http::request::Parts,
 };
-use rand::RngExt;
 use tokio::time::timeout_at;
 
 use crate::{
@@ -27,7 +26,7 @@
         target::Target,
         view::{Path, ServiceKey, View},
     },
-    route::{Kind, Part, To},
+    route::{Kind, To},
     wire::relay::Delegation,
 };
 
@@ -220,22 +219,11 @@
     match &query.path().route.to {
         To::Shards(shards) => gather::run(host, &query, shards).await,
         To::Service(_) => single(host, &query, query.path().to[0]).await,
-        To::Split(parts) => single(host, &query, split(&query, parts)).await,
-    }
-}
-
-/// Chooses a part of a split by weight.
-fn split(query: &Query, parts: &[Part]) -> ServiceKey {
-    let total: u64 = parts.iter().map(|it| it.weight).sum();
-    let mut left = rand::rng().random_range(0..total.max(1));
-    let chosen = parts.iter().position(|it| match left.checked_sub(it.weight) {
-        Some(rest) => {
-            left = rest;
-            false
+        To::Split(parts) => {
+            let path = query.path();
+            single(host, &query, path.to[path.rotation.next(parts)]).await
         }
-        None => true,
-    });
-    query.path().to[chosen.unwrap_or(0)]
+    }
 }
 
 async fn single(host: &Arc<Host>, query: &Arc<Query>, key: ServiceKey) -> Response<Full<Bytes>> {
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -11,7 +11,9 @@
 
 use crate::{
     policy::{budget::Budget, ownership},
-    relay::{cold::Access, settings::Settings, target::Target, typical::Typical},
+    relay::{
+        cold::Access, rotation::Rotation, settings::Settings, target::Target, typical::Typical,
+    },
     route,
     state::{self, Config, Node, NodeView, ObjectKind, Phase},
 };
@@ -65,6 +67,7 @@
     pub(super) route: route::Route,
     pub(super) to: Vec<ServiceKey>,
     pub(super) typical: Arc<Mutex<Typical>>,
+    pub(super) rotation: Arc<Rotation>,
 }
 
 /// Everything that routing needs at one revision.
@@ -102,17 +105,24 @@
     }
 }
 
-/// What outlives a view: targets with their connections, budgets and usual times.
+/// What outlives a view: targets with their connections, budgets, usual times and positions in splits.
 pub(super) struct Builder {
     cfg: Arc<Settings>,
     targets: HashMap<(String, u64), Arc<Target>>,
     repeats: HashMap<String, Arc<Mutex<Budget>>>,
     typical: HashMap<String, Arc<Mutex<Typical>>>,
+    rotations: HashMap<String, Arc<Rotation>>,
 }
 
 impl Builder {
     pub(super) fn new(cfg: Arc<Settings>) -> Self {
-        Self { cfg, targets: HashMap::new(), repeats: HashMap::new(), typical: HashMap::new() }
+        Self {
+            cfg,
+            targets: HashMap::new(),
+            repeats: HashMap::new(),
+            typical: HashMap::new(),
+            rotations: HashMap::new(),
+        }
     }
 
     /// Makes the view of a configuration. Targets that are not in it get no new work from now on.
@@ -143,6 +153,7 @@
         let paths = table.routes.iter().map(|route| Path {
             to: route.services().filter_map(|it| keys.get(it).copied()).collect(),
             typical: self.typical(route),
+            rotation: self.rotations.entry(route.name.clone()).or_default().clone(),
             route: route.clone(),
         });
         View {
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod delegate;
 mod directory;
 mod gather;
+mod rotation;
 mod single;
 mod support;
 mod suspect;
--- /dev/null
+++ b/tests/relay/rotation.rs
@@ -0,0 +1,44 @@
+//! Weighted splits.
+
+use gentianpass::{relay::Rotation, route::Part};
+use proptest::prelude::*;
+
+fn parts(weights: &[u64]) -> Vec<Part> {
+    weights.iter().map(|&weight| Part { service: "s".into(), weight }).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(64) })]
+
+    /// Each part has its share of any 100 requests, give or take three for each part.
+    #[test]
+    fn next_weights(weights in prop::collection::vec(0u64..1_000_000, 1..5), skipped in 0usize..1_000) {
+        prop_assume!(weights.iter().sum::<u64>() > 0);
+        let parts = parts(&weights);
+        let rotation = Rotation::default();
+        for _ in 0..skipped {
+            rotation.next(&parts);
+        }
+        let mut counts = vec![0u64; weights.len()];
+        for _ in 0..100 {
+            counts[rotation.next(&parts)] += 1;
+        }
+        let total = weights.iter().sum::<u64>() as f64;
+        for (count, weight) in counts.iter().zip(&weights) {
+            let expected = 100.0 * *weight as f64 / total;
+            prop_assert!((*count as f64 - expected).abs() <= 3.0, "{counts:?} for {weights:?}");
+        }
+    }
+}
+
+#[test]
+fn next_no_weight() {
+    assert_eq!(Rotation::default().next(&parts(&[0, 0])), 0);
+}
+
+#[test]
+fn next_zero_is_never_chosen() {
+    let rotation = Rotation::default();
+    let parts = parts(&[0, 5, 0, 5]);
+    assert!((0..1_000).all(|_| parts[rotation.next(&parts)].weight > 0));
+}
