Split what grew: builder of views, suspicions; one place for the drain label

Read as a newcomer. relay::view was both the view and its builder; the resolved table of routes is now made once per table and not with each heartbeat that changes a target. The label drain=true stood in six places. Follower::current was called by nothing, Progress had two impl blocks, the stop of a relay mixed percents and divisors. Behaviour as before; tests/relay and tests/state pass.

--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -13,7 +13,7 @@
         output::{self, Format},
         zone,
     },
-    state::{Node, Object, ObjectKind, Revision, TargetView, VersionView, View},
+    state::{DRAIN_LABEL, Node, Object, ObjectKind, Revision, TargetView, VersionView, View},
     wire::operator::{EntryStatus, Member, OwnedTarget, State, SuspectState},
 };
 
@@ -138,7 +138,8 @@
         let targets = || view.targets().filter(|(_, it)| it.zone == zone);
         ZoneRow {
             zone: zone.to_owned(),
-            drained: labels.is_some_and(|it| it.labels.get("drain").is_some_and(|it| it == "true")),
+            drained: labels
+                .is_some_and(|it| it.labels.get(DRAIN_LABEL).is_some_and(|it| it == "true")),
             entry_hosts: view.nodes().filter(|(_, it)| it.zone == zone).count(),
             targets: targets().count(),
             usable_targets: targets().filter(|(_, it)| it.usable).count(),
--- a/src/cmd/zone.rs
+++ b/src/cmd/zone.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     cmd::{Context, change, output},
-    state::{Object, ObjectKind},
+    state::{DRAIN_LABEL, Object, ObjectKind},
     wire::operator::{Edit, State},
 };
 
@@ -59,7 +59,7 @@
         );
     }
     let object = Object::new(ObjectKind::Zone, zone.name.clone());
-    let key = "drain".to_owned();
+    let key = DRAIN_LABEL.to_owned();
     let edit = match args.action {
         Action::Out(_) => Edit::SetLabel { object, key, value: "true".into() },
         Action::In(_) => Edit::RemoveLabel { object, key },
--- a/src/control/follow.rs
+++ b/src/control/follow.rs
@@ -63,11 +63,6 @@
         self.current = 0;
     }
 
-    /// The address of the control host that answered last.
-    pub fn current(&self) -> SocketAddr {
-        self.clients[self.current % self.clients.len()].0
-    }
-
     /// The client of the control host that answered last.
     pub fn client(&self) -> &Client {
         &self.clients[self.current % self.clients.len()].1
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -14,7 +14,7 @@
     error::{Error, Kind, Result},
     event::{Event, Kind as EventKind},
     route,
-    state::{Change, Object, ObjectKind, Phase, Reply, Target},
+    state::{Change, DRAIN_LABEL, Object, ObjectKind, Phase, Reply, Target},
     wire::control::{Heard, Submit},
 };
 
@@ -24,9 +24,6 @@
 /// The pause before a change is proposed again.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// The label of a zone that gets no new work.
-const DRAIN: &str = "drain";
-
 /// The newest call of a target's process that was taken.
 struct Newest {
     incarnation: u64,
@@ -130,9 +127,9 @@
         let end = Instant::now() + self.limit;
         let object = Object::new(ObjectKind::Zone, zone);
         let change = if drain {
-            Change::SetLabel { object, key: DRAIN.into(), value: "true".into() }
+            Change::SetLabel { object, key: DRAIN_LABEL.into(), value: "true".into() }
         } else {
-            Change::RemoveLabel { object, key: DRAIN.into() }
+            Change::RemoveLabel { object, key: DRAIN_LABEL.into() }
         };
         loop {
             self.host.confirm(Vec::new()).await?;
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -204,9 +204,7 @@
         let free = std::mem::take(&mut self.replaces);
         (free || service.repeats.lock().try_spend(1)).then_some(target)
     }
-}
 
-impl Progress {
     /// Waits until a target that did not run the request may be asked again, if all were asked and none has run it.
     async fn wait(
         &mut self,
--- a/src/relay/delegate.rs
+++ b/src/relay/delegate.rs
@@ -68,7 +68,7 @@
         return Err("leaving");
     }
     // All parts of an answer belong to one table of routes.
-    if view.version != delegation.version {
+    if view.routes.version != delegation.version {
         return Err("another_version");
     }
     let mut request =
--- a/src/relay/directory.rs
+++ b/src/relay/directory.rs
@@ -46,10 +46,11 @@
     /// targets, because the parts of a gathered answer are many times longer than the answer.
     pub fn addresses(&self, asker: &Asker) -> Option<Vec<SocketAddr>> {
         let view = self.view();
-        if view.version == 0 {
+        if view.routes.version == 0 {
             return None;
         }
-        let paths: Vec<_> = view.index.of_host(&asker.name).map(|it| &view.paths[it]).collect();
+        let paths: Vec<_> =
+            view.routes.index.of_host(&asker.name).map(|it| &view.routes.paths[it]).collect();
         let homes = homes(&paths);
         let allowed = |it: &&Node| {
             let region = self.cfg.region(&it.zone);
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -58,7 +58,7 @@
         log::debug!("event=connection_ended cause={err:?}");
         return;
     }
-    let limits = host.view().limits.clone();
+    let limits = host.view().routes.limits.clone();
     let buffer = usize::try_from(limits.header_bytes).unwrap_or(usize::MAX).max(MIN_BUFFER_BYTES);
     let used = AtomicBool::new(false);
     let service = service_fn(|request| {
@@ -93,7 +93,7 @@
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let _counted = host.count();
     let (head, body) = request.into_parts();
-    let limit = usize::try_from(host.view().limits.body_bytes).unwrap_or(usize::MAX);
+    let limit = usize::try_from(host.view().routes.limits.body_bytes).unwrap_or(usize::MAX);
     if body.is_end_stream() {
         return Ok(request::answer(host, connection, head, Bytes::new()).await);
     }
--- a/src/relay/gather.rs
+++ b/src/relay/gather.rs
@@ -100,7 +100,7 @@
             parts.covered(),
             parts.cause(),
             query.arrived.elapsed().as_millis(),
-            query.view.version
+            query.view.routes.version
         );
     }
     host.metrics.answer(query, if missing > 0 { "partial" } else { "full" });
--- a/src/relay/group.rs
+++ b/src/relay/group.rs
@@ -183,7 +183,7 @@
             self.query.id(),
             self.peer.addr,
             self.left,
-            self.query.view.version,
+            self.query.view.routes.version,
             self.query.arrived.elapsed().as_millis()
         );
     }
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -19,11 +19,8 @@
     event::{Event, Kind, Ring, unix_ms},
     metric,
     relay::{
-        link::Peers,
-        metrics::Metrics,
-        settings::Settings,
-        suspect::Suspects,
-        view::{Builder, View},
+        builder::Builder, link::Peers, metrics::Metrics, settings::Settings, suspect::Suspects,
+        view::View,
     },
     state::{Config, Node},
 };
@@ -87,7 +84,7 @@
 
     /// Whether requests can be routed and the process does not stop.
     pub fn is_ready(&self) -> bool {
-        self.view().version > 0 && !self.is_leaving()
+        self.view().routes.version > 0 && !self.is_leaving()
     }
 
     /// The metrics in the text format.
@@ -123,7 +120,7 @@
             return;
         }
         let view = self.builder.lock().build(config);
-        let routed = view.version > 0;
+        let routed = view.routes.version > 0;
         self.peers.retain(|addr| view.nodes.iter().any(|it| it.rpc == *addr));
         *self.view.write() = Arc::new(view);
         self.routed.send_replace(routed);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -1,9 +1,10 @@
 //! Passes callers' requests on to targets by a table of routes: one target, or one target of each shard.
 //!
 //! Laid out by life span: `front`, `request`, `gather`, `group`, `delegate` and `call` live for a request, `exchange`,
-//! `pool` and `link` for a connection, `view` for a version, the rest for the process. Locks are leaves: none is taken while another is held,
-//! and none is held over an await.
+//! `pool` and `link` for a connection, `view` for a version, the rest for the process. Locks are leaves: none is taken
+//! while another is held, and none is held over an await.
 
+mod builder;
 mod call;
 mod choice;
 mod cold;
--- a/src/relay/reply.rs
+++ b/src/relay/reply.rs
@@ -64,7 +64,7 @@
         refusal.status.as_u16(),
         refusal.cause,
         query.arrived.elapsed().as_millis(),
-        query.view.version,
+        query.view.routes.version,
         query.view.revision,
     );
     let wait = query.objective() / RETRY_AFTER_DIVISOR;
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -74,7 +74,7 @@
 impl Query {
     /// The route.
     pub(super) fn path(&self) -> &Path {
-        &self.view.paths[self.path]
+        &self.view.routes.paths[self.path]
     }
 
     /// The id of the request, for the log.
@@ -143,7 +143,7 @@
         let kept = kept.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()));
         let deadline = (names.deadline.to_string(), left_ms.to_string().into_bytes());
         Delegation {
-            version: self.view.version,
+            version: self.view.routes.version,
             shards,
             stop_us: stop_at.saturating_duration_since(now).as_micros() as u64,
             method: self.method.to_string(),
@@ -166,9 +166,9 @@
         let authority = uri.authority().map(|it| it.as_str().to_owned());
         let named = headers.get(HOST).and_then(|it| it.to_str().ok()).map(str::to_owned);
         let Some(name) = named.or(authority) else { return Err("no_host") };
-        let Some(path) = view.index.find(&name, uri.path()) else { return Err("no_route") };
+        let Some(path) = view.routes.index.find(&name, uri.path()) else { return Err("no_route") };
         let names = &host.cfg.headers;
-        let route = &view.paths[path].route;
+        let route = &view.routes.paths[path].route;
         let limit = Duration::from_millis(route.timeout_ms);
         let asked = headers.get(&names.deadline).and_then(|it| it.to_str().ok()?.parse().ok());
         let left = asked.map_or(limit, |it| Duration::from_millis(it).min(limit));
--- a/src/relay/stop.rs
+++ b/src/relay/stop.rs
@@ -22,8 +22,8 @@
 /// The time in which a connection that was accepted last carries its first request.
 const SPREAD: Duration = Duration::from_millis(300);
 
-/// The last part of the grace in which the process ends by itself, so that it is not killed.
-const EXIT_DIVISOR: u32 = 12;
+/// The part of the grace after which the process ends by itself, in percent, so that it is not killed.
+const EXIT_PERCENT: u32 = 92;
 
 /// How often running requests are looked at.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -37,7 +37,7 @@
     host.events.record(Event::new(Kind::Stopping, "signal"));
     sleep(host.cfg.list_ttl.min(grace * SERVE_PERCENT / 100)).await;
     let accept_until = start + grace * ACCEPT_PERCENT / 100;
-    let end = start + grace - grace / EXIT_DIVISOR;
+    let end = start + grace * EXIT_PERCENT / 100;
     while Instant::now() < end {
         host.closing.notify_waiters();
         if Instant::now() >= accept_until {
--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -1,4 +1,4 @@
-//! The configuration that every entry host holds: labels, groups, selectors, membership, versions, quarantine.
+//! The configuration that every entry host holds: labels, groups, selectors, membership, versions, suspicions.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -11,18 +11,12 @@
 use crate::{
     error::{Error, Kind},
     route,
-    state::{Change, Labels, Match, Object, ObjectKind, Reply, check_name},
+    state::{Change, DRAIN_LABEL, Labels, Match, Object, ObjectKind, Reply, Suspect, check_name},
 };
 
 /// Number of the configuration; each accepted change of the configuration adds one.
 pub type Revision = u64;
 
-/// How long a request that crashed targets stays blocked.
-pub const QUARANTINE_MS: u64 = 600_000;
-
-/// Crashes at this many different targets block a request.
-pub const QUARANTINE_TARGETS: usize = 2;
-
 /// A group of targets that serve one index.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Group {
@@ -122,15 +116,6 @@
     pub shards: u32,
 }
 
-/// A request under suspicion of crashing targets.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Suspect {
-    /// The targets that crashed while they ran it.
-    pub targets: BTreeSet<String>,
-    /// When the suspicion ends, in milliseconds of the control log's clock.
-    pub until_ms: u64,
-}
-
 /// The configuration at one revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Config {
@@ -199,14 +184,9 @@
             .is_some_and(|it| it == value)
     }
 
-    /// The requests that are refused because they have crashed targets, in the order of their fingerprints.
-    pub fn quarantine(&self) -> impl Iterator<Item = u64> {
-        self.suspects.keys().copied().filter(|&it| self.quarantined(it))
-    }
-
-    /// Whether a request fingerprint is blocked at this moment of the control log's clock.
-    pub fn quarantined(&self, fingerprint: u64) -> bool {
-        self.suspects.get(&fingerprint).is_some_and(|it| it.targets.len() >= QUARANTINE_TARGETS)
+    /// Whether operators have taken a zone, host or target out of service.
+    pub fn is_drained(&self, kind: ObjectKind, name: &str) -> bool {
+        self.has_label(kind, name, DRAIN_LABEL, "true")
     }
 
     fn change(&mut self, change: &Change) -> Result<bool, Error> {
@@ -381,18 +361,4 @@
             self.versions.remove(&key);
         }
     }
-
-    fn expire_suspects(&mut self) -> bool {
-        let before = self.suspects.len();
-        self.suspects.retain(|_, it| it.until_ms > self.now_ms);
-        self.suspects.len() < before
-    }
-
-    fn suspect(&mut self, fingerprint: u64, target: &str) -> bool {
-        let until_ms = self.now_ms + QUARANTINE_MS;
-        let fresh = Suspect { targets: BTreeSet::new(), until_ms };
-        let suspect = self.suspects.entry(fingerprint).or_insert(fresh);
-        suspect.until_ms = until_ms;
-        suspect.targets.insert(target.to_owned())
-    }
 }
--- a/src/state/label.rs
+++ b/src/state/label.rs
@@ -10,6 +10,9 @@
 /// The longest name, label key or label value, in bytes.
 pub const MAX_NAME_LEN: usize = 128;
 
+/// The label with the value `true` of what gets no new work: a zone, a host or a target.
+pub const DRAIN_LABEL: &str = "drain";
+
 /// Labels of one object: key to value.
 pub type Labels = BTreeMap<String, String>;
 
--- a/src/state/view.rs
+++ b/src/state/view.rs
@@ -259,8 +259,7 @@
 }
 
 fn drained(config: &Config, kind: ObjectKind, name: &str, zone: &str) -> bool {
-    config.has_label(kind, name, "drain", "true")
-        || config.has_label(ObjectKind::Zone, zone, "drain", "true")
+    config.is_drained(kind, name) || config.is_drained(ObjectKind::Zone, zone)
 }
 
 fn labels_by_name(config: &Config, kind: ObjectKind) -> HashMap<String, Labels> {
