--- a/src/relay/delegate.rs
+++ b/src/relay/delegate.rs
@@ -6,7 +6,6 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use futures::{StreamExt, stream::FuturesUnordered};
 use hyper::Request;
 use tokio::{
@@ -24,7 +23,7 @@
         view::ServiceKey,
     },
     route::To,
-    wire::relay::{Delegation, Message, Reply},
+    wire::relay::{Delegation, Message, Progress, Reply},
 };
 
 /// Accepts connections until it is dropped. Connections that are open go on.
@@ -138,11 +137,11 @@
 
 impl Parts {
     /// The parts as a delegate sends them.
-    fn into_progress(self, host: &Host, top: usize) -> crate::wire::relay::Progress {
+    fn into_progress(self, host: &Host, top: usize) -> Progress {
         let signature = &host.cfg.headers.signature;
         let signatures = self.answers.iter().filter_map(|it| it.headers.get(signature));
-        let records: Bytes = merge(self.answers.iter().map(|it| &it.body[..]), top);
-        crate::wire::relay::Progress {
+        let records = merge(self.answers.iter().map(|it| &it.body[..]), top);
+        Progress {
             signatures: signatures.map(|it| it.as_bytes().to_vec()).collect(),
             records,
             failed: self.failed,
