Give each relay of a test a loopback address of its own

Cause: the tests take a free port, close it and let the relay bind it; two addresses a relay now double the chance that another test of the 53 takes it in between, and the error of the relay was dropped. Ruled out: the load (a listener takes milliseconds). Addresses differ by IP now, and a relay that ends with an error fails its test. Test code only; tests/relay passes.

--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -321,12 +321,18 @@
     };
     change(&mut settings);
     let relay = relay::start(settings);
-    tokio::spawn(relay::run(relay.clone()));
+    let running = relay.clone();
+    tokio::spawn(async move { relay::run(running).await.expect("relay") });
     (listen, relay)
 }
 
+/// An address that nothing else uses: each has a loopback IP address of its own, so that a port which is free now is not
+/// taken by another test before the relay listens.
 async fn free_addr() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+    static USED: AtomicUsize = AtomicUsize::new(1);
+    let number = USED.fetch_add(1, Ordering::SeqCst);
+    let ip = [127, 1, (number / 250) as u8, (number % 250 + 1) as u8];
+    TcpListener::bind(SocketAddr::from((ip, 0))).await.unwrap().local_addr().unwrap()
 }
 
 pub fn target(name: &str, service: &str, zone: &str, addr: SocketAddr) -> Target {
