route: compare hosts without regard to case when a table is checked

Cause: the lookup lower-cases hosts, the check did not, so of two routes that differ in the case of the host one was never used and nobody was told. Change: the check compares lower-case hosts. Test check_duplicate_match_case fails before (the table passes).

--- a/src/route/check.rs
+++ b/src/route/check.rs
@@ -58,7 +58,8 @@
             if let Some(it) = route.services().find(|it| !self.services.contains_key(*it)) {
                 return Err(TableError::UnknownService { route: name(), service: it.into() });
             }
-            if !seen.insert((&route.host, &route.prefix)) {
+            // Hosts are compared like the lookup compares them, without regard to case.
+            if !seen.insert((route.host.to_ascii_lowercase(), &route.prefix)) {
                 let (host, prefix) = (route.host.clone(), route.prefix.clone());
                 return Err(TableError::DuplicateMatch { host, prefix });
             }
--- a/tests/route/main.rs
+++ b/tests/route/main.rs
@@ -53,6 +53,14 @@
     assert_eq!(error, TableError::UnknownService { route: "r".into(), service: "c".into() });
 }
 
+/// Guards against a route that is never used because another one has the same host in another case.
+#[test]
+fn check_duplicate_match_case() {
+    let other = Route { host: "Labels.Example".into(), ..route("s", "/x/", to("b")) };
+    let error = table(vec![route("r", "/x/", to("a")), other]).check().unwrap_err();
+    assert!(matches!(error, TableError::DuplicateMatch { .. }), "{error}");
+}
+
 #[test]
 fn check_duplicate_match() {
     let routes = vec![route("r", "/x/", to("a")), route("s", "/x/", to("b"))];
