owner, entry: a sub-request that was sent never ends as not run; a stop waits for settlements

Change: a waiting sub-request remembers whether it was sent and then ends as a time-out; the wait is the longest deadline plus the time for settlements. No test reaches either case yet; the existing tests of owner and entry pass.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -47,7 +47,7 @@
 
 /// How long the commit of a settlement is retried. Until it is committed, the same request sent again is answered with
 /// `unknown`.
-const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
+pub(super) const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Identifies a claim in the control log. The nonce distinguishes claims of the same key.
 struct ClaimId {
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -11,7 +11,10 @@
 use tokio::time::sleep;
 
 use crate::{
-    entry::{host::Host, owners::Owners, poll, request_tracker::ShutdownPhase},
+    entry::{
+        dispatch::SETTLE_TIMEOUT, host::Host, owners::Owners, poll, query::MAX_DEADLINE_MS,
+        request_tracker::ShutdownPhase,
+    },
     event::{Event, Kind as EventKind},
     state::Change,
 };
@@ -29,8 +32,10 @@
 /// host began to reject is answered too.
 const REJECT_PERIOD: Duration = Duration::from_millis(500);
 
-/// How long to wait for requests in progress: longer than the longest deadline of a caller.
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(65);
+/// How long to wait for requests in progress: the longest deadline of a caller, after which the outcome of a dispatch may
+/// still have to be recorded, and some time for the last responses.
+const DRAIN_TIMEOUT: Duration =
+    Duration::from_millis(MAX_DEADLINE_MS + 5_000).saturating_add(SETTLE_TIMEOUT);
 
 /// Leaves the list of entry hosts, serves until no caller holds an old list, then rejects new requests and waits for
 /// those in progress.
--- a/src/owner/batch.rs
+++ b/src/owner/batch.rs
@@ -62,8 +62,14 @@
 }
 
 enum ItemState {
-    Waiting,
-    Running { target: Arc<Target>, id: u64 },
+    /// Waits to be sent, for the second time if it was sent before.
+    Waiting {
+        sent: bool,
+    },
+    Running {
+        target: Arc<Target>,
+        id: u64,
+    },
     Done,
 }
 
@@ -71,7 +77,9 @@
     pub fn new(batch: owner::Batch, started: Instant) -> Self {
         let count = batch.items.len();
         let state = State {
-            item_states: std::iter::repeat_with(|| ItemState::Waiting).take(count).collect(),
+            item_states: std::iter::repeat_with(|| ItemState::Waiting { sent: false })
+                .take(count)
+                .collect(),
             pending: count,
             finished: Vec::with_capacity(count),
             targets: Vec::new(),
@@ -90,7 +98,7 @@
     /// for example because it was cancelled.
     pub fn mark_running(&self, item: usize, target: &Arc<Target>, id: u64) -> bool {
         let item_state = &mut self.state.lock().item_states[item];
-        if !matches!(item_state, ItemState::Waiting) {
+        if !matches!(item_state, ItemState::Waiting { .. }) {
             return false;
         }
         *item_state = ItemState::Running { target: target.clone(), id };
@@ -98,16 +106,17 @@
     }
 
     /// Marks a running sub-request as waiting again because its job returns to the queue. One that has ended stays so.
-    pub fn mark_waiting(&self, item: usize) {
+    /// `sent` tells whether the target may have run it.
+    pub fn mark_waiting(&self, item: usize, sent: bool) {
         let item_state = &mut self.state.lock().item_states[item];
         if matches!(item_state, ItemState::Running { .. }) {
-            *item_state = ItemState::Waiting;
+            *item_state = ItemState::Waiting { sent };
         }
     }
 
     /// Whether a sub-request has neither been sent nor ended.
     pub fn is_waiting(&self, item: usize) -> bool {
-        matches!(self.state.lock().item_states[item], ItemState::Waiting)
+        matches!(self.state.lock().item_states[item], ItemState::Waiting { .. })
     }
 
     /// Records the result of a sub-request, unless it has ended already, and wakes the call of the root if that waits
@@ -193,8 +202,8 @@
         Progress { finished, pending, hints: targets.iter().map(|it| it.hint()).collect() }
     }
 
-    /// Ends all pending sub-requests if the deadline of the batch has passed: as `Overloaded` if they wait to be sent,
-    /// also for the second time, and as `Timeout` if they run.
+    /// Ends all pending sub-requests if the deadline of the batch has passed: as `Overloaded` if they were
+    /// never sent, otherwise as `Timeout`, because the target may have run them.
     pub fn expire(&self, now: Instant) {
         if now < self.deadline {
             return;
@@ -202,8 +211,8 @@
         let mut state = self.state.lock();
         for item in 0..state.item_states.len() {
             let kind = match state.item_states[item] {
-                ItemState::Waiting => Kind::Overloaded,
-                ItemState::Running { .. } => Kind::Timeout,
+                ItemState::Waiting { sent: false } => Kind::Overloaded,
+                ItemState::Waiting { sent: true } | ItemState::Running { .. } => Kind::Timeout,
                 ItemState::Done => continue,
             };
             state.finish(&self.batch.items[item], item, Err(kind), self.started);
@@ -356,7 +365,7 @@
     pub fn mark_waiting(&mut self) {
         self.requeued = true;
         match &self.payload {
-            Payload::Sub { batch, item } => batch.mark_waiting(*item),
+            Payload::Sub { batch, item } => batch.mark_waiting(*item, self.may_have_run),
             Payload::Dispatch(call) => {
                 call.transition(RUNNING, WAITING);
             }
