relay: late second copies, requests in the backlog at a stop, and responses without end

Causes: a response without an id was accepted on a reused connection, so a late second copy could reach the next caller; a connection went back to the pool before its response was checked; a late copy of a refusal could be taken for the refusal of the next send of the same at-most-once request, which was then reported as not run. A stop dropped the listener with its backlog, and did not wait for requests of which a part had arrived. Endless bodies of 42 shards could hold 4 MB each in 160 MB. Change: an id is required on a reused connection; only connections with a good answer and an id are reused; after a refusal an at-most-once call takes another connection; the listener accepts its backlog before it closes, and the stop waits for connections with a partial request; bodies of shards keep the greatest records only, and all bodies share 32 MiB. The stub targets now return the id with refusals, as the platform's targets do.

--- a/src/relay/delegate.rs
+++ b/src/relay/delegate.rs
@@ -16,9 +16,10 @@
 use crate::{
     relay::{
         call,
-        gather::{ShardResults, merge_records},
+        gather::ShardResults,
         host::Host,
         peer::PeerConnection,
+        records::merge_records,
         request::{CallerConnection, Query},
         server,
         view::ServiceKey,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -9,11 +9,12 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::Incoming,
     header::{CONNECTION, HeaderName, HeaderValue},
+    http::response,
 };
 use parking_lot::Mutex;
 use strum::{Display, IntoStaticStr};
@@ -23,14 +24,14 @@
     time::{sleep_until, timeout_at},
 };
 
-use crate::relay::{
-    choice::Observation, host::Host, pool::Connection, request::Query, target::Target,
-    typical::LatencyEstimate,
+use crate::{
+    relay::{
+        buffer::ResponseBuffer, choice::Observation, host::Host, pool::Connection, request::Query,
+        settings::Headers, target::Target, typical::LatencyEstimate,
+    },
+    route,
 };
 
-/// Longest response body that is accepted, in bytes.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
-
 /// A connection is silent if no response header arrived for this many times the route's late threshold, and for at
 /// least the minimum. The target is then avoided and its connections are not reused, but the exchange keeps waiting.
 const SILENCE_FACTOR: u32 = 4;
@@ -74,7 +75,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub(super) enum UnknownReason {
-    /// The connection broke before the response was complete, or the body is longer than [`MAX_RESPONSE_BYTES`].
+    /// The connection broke before the response was complete, or the body is too long to be
+    /// buffered.
     Disconnected,
     /// The response belongs to another request or is invalid.
     BadAnswer,
@@ -258,18 +260,51 @@
 ) -> Outcome {
     let names = &host.cfg.headers;
     let (head, body) = head.into_parts();
-    let body = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(_) => return Outcome::Unknown(UnknownReason::Disconnected),
+    let mut buffer = ResponseBuffer::new(&host.buffers, query.max_records());
+    let body = match buffer.collect(body).await {
+        Ok(body) => body,
+        Err(err) => {
+            log::info!(
+                "event=response_incomplete request={} target={} cause={err:?}",
+                query.id(),
+                target.name
+            );
+            return Outcome::Unknown(UnknownReason::Disconnected);
+        }
     };
-    let response_id = head.headers.get(&names.request_id);
-    if response_id.is_some() && response_id != query.request_id.as_ref() {
+    let keep_alive = keep_alive_timeout(&head.headers);
+    let is_own = head.headers.get(&names.request_id) == query.request_id.as_ref();
+    let has_id = head.headers.contains_key(&names.request_id);
+    if !is_own && (has_id || conn.is_reused) {
+        log::info!(
+            "event=response_discarded request={} target={} status={} cause=\"{} on a {} connection\"",
+            query.id(),
+            target.name,
+            head.status.as_u16(),
+            if has_id { "id of another request" } else { "no request id" },
+            if conn.is_reused { "reused" } else { "new" },
+        );
         return Outcome::Unknown(UnknownReason::BadAnswer);
     }
-    let will_close = head.headers.get(CONNECTION).is_some_and(has_close_token);
-    if !will_close && query.body.is_empty() {
-        target.pool.put_idle(conn, keep_alive_timeout(&head.headers));
+    let outcome = classify(names, head, body);
+    if has_id && query.body.is_empty() && is_reusable(query, &outcome) {
+        target.pool.put_idle(conn, keep_alive);
     }
+    outcome
+}
+
+/// Whether the connection of an exchange with this outcome may carry another request. The next request of an
+/// at-most-once call has the id of the refused one, so a late copy of the refusal would claim that it did not run.
+fn is_reusable(query: &Query, outcome: &Outcome) -> bool {
+    match outcome {
+        Outcome::Answered(it) => !it.headers.get(CONNECTION).is_some_and(has_close_token),
+        Outcome::NotRun(_) => query.route().config.kind == route::Kind::Idempotent,
+        Outcome::Unknown(_) => false,
+    }
+}
+
+/// What a complete response to this request means.
+fn classify(names: &Headers, head: response::Parts, body: Bytes) -> Outcome {
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return Outcome::NotRun(NotRunReason::WrongProcess);
     }
--- a/src/relay/gather.rs
+++ b/src/relay/gather.rs
@@ -14,6 +14,7 @@
         exchange::TargetResponse,
         group::{self, DelegateEvent},
         host::Host,
+        records::merge_records,
         request::Query,
         response::{self, Refusal},
     },
@@ -21,9 +22,6 @@
     wire::relay::{FailedShard, Progress},
 };
 
-/// Length of a record, in bytes.
-pub(super) const RECORD_BYTES: usize = 16;
-
 /// Results of the shards that have ended.
 #[derive(Default)]
 pub(super) struct ShardResults {
@@ -186,11 +184,3 @@
     response::set_request_id(host, query, headers);
     response
 }
-
-/// The greatest `top` records of all results, greatest first. An incomplete record at the end of a result is ignored.
-pub fn merge_records<'a>(results: impl Iterator<Item = &'a [u8]>, top: usize) -> Bytes {
-    let mut records: Vec<&[u8]> = results.flat_map(|it| it.chunks_exact(RECORD_BYTES)).collect();
-    records.sort_unstable_by(|a, b| b.cmp(a));
-    records.truncate(top);
-    records.concat().into()
-}
--- a/src/relay/group.rs
+++ b/src/relay/group.rs
@@ -8,9 +8,9 @@
 
 use crate::{
     relay::{
-        gather::RECORD_BYTES,
         host::Host,
         peer::{ACCEPT_TIMEOUT, Peer, PeerConnection},
+        records::RECORD_BYTES,
         request::Query,
         view::ServiceKey,
     },
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -19,8 +19,8 @@
     event::{Event, Kind, Ring, unix_ms},
     metric,
     relay::{
-        builder::Builder, metrics::Metrics, peer::Peers, settings::Settings, suspect::Suspects,
-        view::View,
+        buffer::Buffers, builder::Builder, metrics::Metrics, peer::Peers, settings::Settings,
+        suspect::Suspects, view::View,
     },
     state::{Config, Node},
 };
@@ -28,12 +28,19 @@
 /// A request waits for the first routing table at most for its remaining time divided by this.
 const ROUTES_WAIT_DIVISOR: u32 = 3;
 
-/// Counts a request as running until it is dropped.
-pub(super) struct RequestGuard<'a>(&'a Host);
+/// Counts a request or a connection until it is dropped.
+pub(super) struct CountGuard<'a>(&'a AtomicUsize);
 
-impl Drop for RequestGuard<'_> {
+impl<'a> CountGuard<'a> {
+    fn new(counter: &'a AtomicUsize) -> Self {
+        counter.fetch_add(1, Ordering::Relaxed);
+        Self(counter)
+    }
+}
+
+impl Drop for CountGuard<'_> {
     fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::Relaxed);
+        self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -48,8 +55,12 @@
     pub(super) poll_now: Notify,
     /// Tells the connections of callers to shut down gracefully.
     pub(super) close_connections: Notify,
+    /// Tells the listener for callers to accept what waits in its backlog and to close.
+    pub(super) stop_accepting: Notify,
     /// Connections to the other relays.
     pub(super) peers: Peers,
+    /// Bodies of responses that are being received.
+    pub(super) buffers: Buffers,
     /// Requests that crashed targets.
     pub(super) suspects: Suspects,
     registry: metric::Registry,
@@ -60,6 +71,8 @@
     leaving: AtomicBool,
     /// Number of requests that are being processed.
     pub(super) running: AtomicUsize,
+    /// Number of open connections of callers on which at least one byte has arrived.
+    pub(super) connections: AtomicUsize,
 }
 
 impl Host {
@@ -72,7 +85,9 @@
             metrics: Metrics::new(&registry),
             poll_now: Notify::new(),
             close_connections: Notify::new(),
+            stop_accepting: Notify::new(),
             peers: Peers::default(),
+            buffers: Buffers::default(),
             suspects: Suspects::default(),
             registry,
             builder: Mutex::new(Builder::new(cfg.clone())),
@@ -80,6 +95,7 @@
             has_routes: watch::Sender::new(false),
             leaving: AtomicBool::new(false),
             running: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
             cfg,
         }
     }
@@ -139,9 +155,13 @@
     }
 
     /// Counts a request as running until the guard is dropped.
-    pub(super) fn track_request(&self) -> RequestGuard<'_> {
-        self.running.fetch_add(1, Ordering::Relaxed);
-        RequestGuard(self)
+    pub(super) fn track_request(&self) -> CountGuard<'_> {
+        CountGuard::new(&self.running)
+    }
+
+    /// Counts a connection of a caller as open until the guard is dropped.
+    pub(super) fn track_connection(&self) -> CountGuard<'_> {
+        CountGuard::new(&self.connections)
     }
 
     /// The record of this host in the control state.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -9,6 +9,7 @@
 //! those of targets and budgets, the lock of a target's statistics around that of its cold-start limiter, and the lock
 //! of known crashes around that of unreported ones.
 
+mod buffer;
 mod builder;
 mod call;
 mod choice;
@@ -23,6 +24,7 @@
 mod metrics;
 mod peer;
 mod pool;
+mod records;
 mod request;
 mod response;
 mod run;
@@ -35,11 +37,12 @@
 mod typical;
 mod view;
 
+pub use buffer::{BufferError, Buffers, MAX_BUFFERED_BYTES, ResponseBuffer};
 pub use choice::{Observation, TargetStats};
 pub use cold_start::{Access, ColdStartLimiter};
 pub use directory::AddressQuery;
-pub use gather::merge_records;
 pub use host::Host;
+pub use records::merge_records;
 pub use run::{create, run};
 pub use settings::{Headers, Settings};
 pub use split::SplitPicker;
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -30,6 +30,8 @@
     driver: AbortHandle,
     created_at: Instant,
     usable_until: Instant,
+    /// Whether a response has been read from it before. A late second copy of that response may follow.
+    pub(super) is_reused: bool,
 }
 
 impl Drop for Connection {
@@ -100,6 +102,7 @@
             driver: driver.abort_handle(),
             created_at: Instant::now(),
             usable_until: Instant::now() + DEFAULT_KEEP_ALIVE,
+            is_reused: false,
         })
     }
 
@@ -108,6 +111,7 @@
     pub(super) fn put_idle(&self, mut conn: Connection, keep_alive: Option<Duration>) {
         let kept = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).saturating_sub(KEEP_ALIVE_MARGIN);
         conn.usable_until = Instant::now() + kept;
+        conn.is_reused = true;
         self.idle.lock().push(conn);
     }
 
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -131,6 +131,14 @@
         }
     }
 
+    /// How many of the greatest records of a shard's response are needed, if the route leads to shards.
+    pub(super) fn max_records(&self) -> Option<usize> {
+        match &self.route().config.to {
+            To::Shards(shards) => Some(shards.top),
+            To::Service(_) | To::Split(_) => None,
+        }
+    }
+
     /// The message that delegates these shards to another relay. That relay must return results that have arrived by
     /// `soft_deadline`.
     pub(super) fn delegation(
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -32,12 +32,12 @@
     let delegate = tokio::spawn(delegate::serve(host.clone(), peers));
     let control = ControlSync::new(host.clone());
     let follow = tokio::spawn(async move { control.run().await });
-    let server = tokio::spawn(server::serve(host.clone(), listener));
+    tokio::spawn(server::serve(host.clone(), listener));
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    stop::run(&host, &server.abort_handle()).await;
+    stop::run(&host).await;
     follow.abort();
     delegate.abort();
     Ok(())
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -18,7 +18,10 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
 
 use crate::relay::{
     host::Host,
@@ -32,10 +35,27 @@
 /// The smallest buffer size that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
-/// Accepts connections until the future is dropped. Connections that are already open keep running.
+/// The backlog counts as empty when no connection was accepted for this time.
+const BACKLOG_EMPTY_AFTER: Duration = Duration::from_millis(10);
+
+/// How long connections from the backlog are accepted at most. Callers that go on connecting must not keep the listener
+/// open until the process exits.
+const BACKLOG_MAX: Duration = Duration::from_millis(50);
+
+/// Accepts connections until `Host::stop_accepting` is signalled, then those that wait in the backlog: closing the
+/// listener would reset them, although their requests may have arrived. Connections that are open keep running.
 pub(super) async fn serve(host: Arc<Host>, listener: TcpListener) {
     loop {
-        let stream = accept(&listener).await;
+        let stream = tokio::select! {
+            stream = accept(&listener) => stream,
+            () = host.stop_accepting.notified() => break,
+        };
+        tokio::spawn(serve_connection(host.clone(), stream));
+    }
+    let end = Instant::now() + BACKLOG_MAX;
+    while Instant::now() < end
+        && let Ok(stream) = timeout(BACKLOG_EMPTY_AFTER, accept(&listener)).await
+    {
         tokio::spawn(serve_connection(host.clone(), stream));
     }
 }
@@ -58,7 +78,15 @@
         log::debug!("event=connection_ended cause={err:?}");
         return;
     }
+    // Counted from its first byte on, so that a stop waits for a request of which a part has arrived.
     let limits = host.view().table.limits.clone();
+    // hyper measures the time for reading a header from the end of the previous response, so the limit must include the
+    // idle time.
+    let idle = Duration::from_millis(limits.idle_ms + limits.header_ms);
+    if !matches!(timeout(idle, stream.readable()).await, Ok(Ok(()))) {
+        return;
+    }
+    let _guard = host.track_connection();
     let buffer = usize::try_from(limits.header_bytes).unwrap_or(usize::MAX).max(MIN_BUFFER_BYTES);
     let used = AtomicBool::new(false);
     let service = service_fn(|request| {
@@ -69,17 +97,17 @@
             request,
         )
     });
-    // hyper measures the time for reading a header from the end of the previous response, so the limit must include the
-    // idle time.
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.idle_ms + limits.header_ms))
+        .header_read_timeout(idle)
         .max_buf_size(buffer)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
     let shutdown = host.close_connections.notified();
     tokio::pin!(shutdown);
     let result = tokio::select! {
+        // Reads first: a connection on which a request has arrived is not idle.
+        biased;
         result = conn.as_mut() => result,
         () = &mut shutdown => {
             conn.as_mut().graceful_shutdown();
--- a/src/relay/stop.rs
+++ b/src/relay/stop.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use tokio::{task::AbortHandle, time::sleep};
+use tokio::time::sleep;
 
 use crate::{
     event::{Event, Kind},
@@ -30,8 +30,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Marks this host as leaving and serves until callers have stopped using its address. Then closes connections and
-/// waits for running requests.
-pub(super) async fn run(host: &Arc<Host>, accept_task: &AbortHandle) {
+/// waits for running requests, and for connections on which a part of a request has arrived.
+pub(super) async fn run(host: &Arc<Host>) {
     let start = Instant::now();
     let grace = host.cfg.grace_period;
     host.start_leaving();
@@ -43,9 +43,10 @@
     while Instant::now() < end {
         host.close_connections.notify_waiters();
         if Instant::now() >= accept_until {
-            accept_task.abort();
+            host.stop_accepting.notify_one();
         }
-        let idle = host.running.load(Ordering::Relaxed) == 0;
+        let idle = host.running.load(Ordering::Relaxed) == 0
+            && host.connections.load(Ordering::Relaxed) == 0;
         if idle && Instant::now() >= accept_until + FIRST_REQUEST_WAIT {
             break;
         }
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -27,6 +27,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::{Notify, watch},
     time::sleep,
@@ -139,11 +140,15 @@
         }
         Behaviour::Shed => {
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            response.headers_mut().insert("not-run", "1".parse().unwrap());
+            let headers = response.headers_mut();
+            headers.insert("not-run", "1".parse().unwrap());
+            headers.extend(id.map(|it| (HeaderName::from_static("request-id"), it)));
             return Ok(response);
         }
         Behaviour::WrongProcess => {
             *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+            let headers = response.headers_mut();
+            headers.extend(id.map(|it| (HeaderName::from_static("request-id"), it)));
             return Ok(response);
         }
         Behaviour::Fail => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
@@ -159,6 +164,102 @@
     Ok(response)
 }
 
+/// What a scripted target does next.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Sends these bytes.
+    Send(Vec<u8>),
+    /// Sends these bytes again and again, after this pause each time, until the relay closes the connection.
+    Endless(Duration, Vec<u8>),
+    Pause(Duration),
+    /// Closes the connection with a reset.
+    Reset,
+    /// Closes the connection in the regular way.
+    Close,
+}
+
+/// A target that answers with bytes of a script, for responses that no HTTP server would send.
+pub struct ScriptedTarget {
+    pub addr: SocketAddr,
+    pub connections: Arc<AtomicUsize>,
+    pub requests: Arc<AtomicUsize>,
+    /// Endless responses that the relay has ended.
+    pub ended: Arc<AtomicUsize>,
+}
+
+impl ScriptedTarget {
+    /// `script` gets the id of a request and its number, from 0.
+    pub async fn start(script: impl Fn(&str, usize) -> Vec<Step> + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let target = Self {
+            addr: listener.local_addr().unwrap(),
+            connections: Arc::default(),
+            requests: Arc::default(),
+            ended: Arc::default(),
+        };
+        let (connections, requests) = (target.connections.clone(), target.requests.clone());
+        let (ended, script) = (target.ended.clone(), Arc::new(script));
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                connections.fetch_add(1, Ordering::SeqCst);
+                let (requests, ended, script) = (requests.clone(), ended.clone(), script.clone());
+                tokio::spawn(async move {
+                    let mut stream = stream;
+                    while let Some(id) = read_request_id(&mut stream).await {
+                        let number = requests.fetch_add(1, Ordering::SeqCst);
+                        if !play(&mut stream, script(&id, number), &ended).await {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        target
+    }
+}
+
+/// Reads a request without a body. `None` if the connection has ended.
+async fn read_request_id(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).unwrap();
+    let id = head.lines().find_map(|it| it.strip_prefix("request-id: "));
+    Some(id.unwrap_or_default().to_owned())
+}
+
+/// Returns whether the connection stays open.
+async fn play(stream: &mut TcpStream, steps: Vec<Step>, ended: &AtomicUsize) -> bool {
+    for step in steps {
+        match step {
+            Step::Send(bytes) => stream.write_all(&bytes).await.unwrap_or_default(),
+            Step::Endless(pause, bytes) => {
+                while stream.write_all(&bytes).await.is_ok() {
+                    sleep(pause).await;
+                }
+                ended.fetch_add(1, Ordering::SeqCst);
+                return false;
+            }
+            Step::Pause(time) => sleep(time).await,
+            Step::Reset => {
+                let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+                return false;
+            }
+            Step::Close => return false,
+        }
+    }
+    true
+}
+
+/// A complete response with this id, if any, and body.
+pub fn response_bytes(id: Option<&str>, body: &[u8]) -> Vec<u8> {
+    let id = id.map_or(String::new(), |it| format!("request-id: {it}\r\n"));
+    let length = body.len();
+    let head = format!("HTTP/1.1 200 OK\r\nsignature: s\r\n{id}content-length: {length}\r\n\r\n");
+    [head.as_bytes(), body].concat()
+}
+
 /// A control host without consensus: it applies changes at once.
 #[derive(Clone)]
 pub struct StubControl {
@@ -274,13 +375,22 @@
     pub async fn send(
         &self,
         request: hyper::http::request::Builder,
+    ) -> (StatusCode, HeaderMap, Bytes) {
+        self.send_as("q-1", request).await
+    }
+
+    /// Sends a request with this id.
+    pub async fn send_as(
+        &self,
+        id: &str,
+        request: hyper::http::request::Builder,
     ) -> (StatusCode, HeaderMap, Bytes) {
         let stream = TcpStream::connect(self.addr).await.unwrap();
         let (mut sender, conn) = client::handshake(TokioIo::new(stream)).await.unwrap();
         tokio::spawn(conn);
         let request = request
             .header("host", "labels.example")
-            .header("request-id", "q-1")
+            .header("request-id", id)
             .header("deadline", "3000");
         let request = request.body(Full::<Bytes>::default()).unwrap();
         let response = sender.send_request(request).await.unwrap();
