relay: sub-requests wait in order of need; hedges leave a reserve; shards that are down are given up

Change: a queue for each service, ordered by need (the request cannot be answered without it, it can, it is late), priority and latest start, woken by a completion; what can be spared is given up, what is needed waits as long as it is of use. A hedge leaves half of the retry budget. Shards without a reachable target are given up while the coverage allows.

--- a/src/policy/budget.rs
+++ b/src/policy/budget.rs
@@ -50,8 +50,17 @@
         self.units = rest;
         true
     }
+
+    /// Like [`Self::try_spend`], but leaves a reserve of half of the capacity.
+    pub fn try_spend_above_reserve(&mut self, n: u64) -> bool {
+        let needed = n.saturating_mul(UNITS_PER_TOKEN) + self.capacity / RESERVE_DIVISOR;
+        self.units >= needed && self.try_spend(n)
+    }
 }
 
+/// The share of the capacity that [`Budget::try_spend_above_reserve`] leaves, as a divisor.
+const RESERVE_DIVISOR: u64 = 2;
+
 /// Whether a failed sub-request may be retried on another replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryRule {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,3 +11,4 @@
 pub mod ownership;
 pub mod pick;
 pub mod pin;
+pub mod queue;
--- a/src/relay/builder.rs
+++ b/src/relay/builder.rs
@@ -20,6 +20,7 @@
             COLD_LABEL, MIN_HOSTS_PER_REGION, ResolvedRoute, RouteTable, SERVICE_LABEL, Service,
             ServiceKey, View,
         },
+        wait::WaitQueue,
     },
     route,
     state::{self, Config, Node, NodeView, ObjectKind, Phase},
@@ -36,12 +37,13 @@
 /// Converts `cold_millis_per_s`, which is in thousandths of a request per second.
 const THOUSANDTHS: u64 = 1_000;
 
-/// State that outlives a view: targets with their connections and statistics, retry budgets, latency estimates, split
+/// State that outlives a view: targets with their connections and statistics, retry budgets, queues, latency estimates, split
 /// pickers, and the routing table while its version stays the same.
 pub(super) struct Builder {
     cfg: Arc<Settings>,
     targets: HashMap<(String, u64), Arc<Target>>,
     retry_budgets: HashMap<String, Arc<Mutex<Budget>>>,
+    queues: HashMap<String, WaitQueue>,
     latencies: HashMap<String, Arc<Mutex<LatencyEstimate>>>,
     split_pickers: HashMap<String, Arc<SplitPicker>>,
     table: Arc<RouteTable>,
@@ -53,6 +55,7 @@
             cfg,
             targets: HashMap::new(),
             retry_budgets: HashMap::new(),
+            queues: HashMap::new(),
             latencies: HashMap::new(),
             split_pickers: HashMap::new(),
             table: Arc::default(),
@@ -83,6 +86,7 @@
                 max_in_flight: ((connections / hosts as f64).round() as usize).max(1),
                 hosts_per_region,
                 retry_budget: self.retry_budget(name, hosts, planned_hosts),
+                queue: self.queues.entry(name.clone()).or_default().clone(),
             });
         }
         if self.table.version != table.version {
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -17,6 +17,7 @@
         suspect,
         target::Target,
         view::{Service, ServiceKey},
+        wait,
     },
     route,
 };
@@ -32,11 +33,6 @@
 /// A zone with this many unreachable targets counts as lost; the request then prefers targets in other zones.
 const ZONE_LOST_THRESHOLD: usize = 2;
 
-/// Intervals at which target selection is repeated while all targets are busy. Requests that are past their objective
-/// poll less often, which leaves free slots to requests that can still be answered in time.
-const BUSY_POLL_INTERVAL: Duration = Duration::from_millis(2);
-const LATE_POLL_INTERVAL: Duration = Duration::from_millis(15);
-
 /// Delay before targets that refused a request are tried again. It doubles each time.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(25);
 
@@ -61,6 +57,13 @@
     pub(super) cause: &'static str,
 }
 
+impl Failure {
+    /// No target of the service could be reached.
+    fn unreachable() -> Self {
+        Self { may_have_run: false, response: None, cause: NotRunReason::Unreachable.into() }
+    }
+}
+
 /// The state of a sub-request over all its attempts.
 struct CallState {
     /// Targets that were selected since the last backoff.
@@ -87,13 +90,16 @@
 ) -> Result<TargetResponse, Failure> {
     let service = query.view.service(key);
     service.retry_budget.lock().earn(1);
+    if service.is_down(Instant::now()) && query.give_up_shard() {
+        return Err(Failure::unreachable());
+    }
     let first = wait_for_target(query, service).await?;
     let hedge_at = Instant::now() + hedge_delay(query, service, &first);
     let hedge = sleep_until(hedge_at.into());
     tokio::pin!(hedge);
     let detach = Arc::<DetachFlag>::default();
     let mut running = FuturesUnordered::new();
-    running.push(exchange::start(host, query, &detach, &first).join());
+    running.push(exchange::start(host, query, &detach, &service.queue, &first).join());
     let mut state = CallState {
         tried: vec![first],
         attempts: 1,
@@ -123,7 +129,7 @@
                 "late"
             }
         };
-        match state.next_target(query, service, max_attempts) {
+        match state.next_target(query, service, max_attempts, cause == "late") {
             Some(target) => {
                 log::info!(
                     "event=repeated request={} service={} target={} cause={cause} attempt={} revision={}",
@@ -136,16 +142,17 @@
                 host.metrics.retries.with_label_values(&[cause]).inc();
                 state.tried.push(target.clone());
                 state.attempts += 1;
-                running.push(exchange::start(host, query, &detach, &target).join());
+                running.push(exchange::start(host, query, &detach, &service.queue, &target).join());
             }
             None if !running.is_empty() => {}
+            None if state.reached_no_target() && query.give_up_shard() => return Err(state.failure),
             None => {
                 let Some(target) = state.wait_for_retry(query, service, max_attempts).await else {
                     return Err(state.failure);
                 };
                 state.tried.push(target.clone());
                 state.attempts += 1;
-                running.push(exchange::start(host, query, &detach, &target).join());
+                running.push(exchange::start(host, query, &detach, &service.queue, &target).join());
             }
         }
     }
@@ -193,12 +200,14 @@
     }
 
     /// Selects the target of another attempt and takes a token from the retry budget. `None` if the limits of the
-    /// route, the limits of this module or the budget do not allow another attempt, or if no target is left.
+    /// route, the limits of this module or the budget do not allow another attempt, or if no target is left. A hedge
+    /// leaves a reserve in the budget, because a failed sub-request needs its token more than a late one.
     fn next_target(
         &mut self,
         query: &Query,
         service: &Service,
         max_attempts: usize,
+        is_hedge: bool,
     ) -> Option<Arc<Target>> {
         let repeatable = query.route().config.kind == route::Kind::Idempotent;
         if self.attempts >= max_attempts
@@ -211,7 +220,13 @@
         let (target, _) = pick(query, service, |it| !self.should_avoid(it))
             .or_else(|| pick(query, service, |it| !self.has_tried(it)))?;
         let needs_no_token = std::mem::take(&mut self.replaces_unreachable);
-        (needs_no_token || service.retry_budget.lock().try_spend(1)).then_some(target)
+        if needs_no_token {
+            return Some(target);
+        }
+        let mut budget = service.retry_budget.lock();
+        let allowed =
+            if is_hedge { budget.try_spend_above_reserve(1) } else { budget.try_spend(1) };
+        allowed.then_some(target)
     }
 
     /// Called when no further target can be tried and no exchange is running. Waits with exponential backoff, then
@@ -232,13 +247,20 @@
             self.unreachable.clear();
             self.refusals = 0;
             self.replaces_unreachable = false;
-            if let Some(target) = self.next_target(query, service, max_attempts) {
+            if let Some(target) = self.next_target(query, service, max_attempts, false) {
                 return Some(target);
             }
         }
         None
     }
 
+    /// Whether all attempts since the last backoff failed because the target could not be reached.
+    fn reached_no_target(&self) -> bool {
+        !self.failure.may_have_run
+            && self.refusals == 0
+            && self.unreachable.len() == self.tried.len()
+    }
+
     fn has_tried(&self, target: &Arc<Target>) -> bool {
         self.tried.iter().any(|it| Arc::ptr_eq(it, target))
     }
@@ -250,22 +272,22 @@
     }
 }
 
-/// Selects the first target. Waits for a limited time if all targets are busy.
+/// Selects the first target. Waits if all targets are busy.
 async fn wait_for_target(query: &Query, service: &Service) -> Result<Arc<Target>, Failure> {
-    let now = Instant::now();
-    let end = now + query.hard_deadline.saturating_duration_since(now) / MAX_WAIT_DIVISOR;
-    loop {
-        if let Some((target, _)) = pick(query, service, |_| true) {
-            return Ok(target);
-        }
-        let no_target = !service.targets.iter().any(|it| it.is_usable());
-        if no_target || Instant::now() >= end {
-            let cause = if no_target { "no_target" } else { "busy" };
-            return Err(Failure { may_have_run: false, response: None, cause });
-        }
-        let past_objective = query.is_past_objective(Instant::now());
-        sleep(if past_objective { LATE_POLL_INTERVAL } else { BUSY_POLL_INTERVAL }).await;
-    }
+    let started = Instant::now();
+    let pick = || pick(query, service, |_| true).map(|(target, _)| target);
+    wait::for_target(query, service, pick).await.map_err(|cause| {
+        log::info!(
+            "event=no_free_target request={} service={} cause={cause} waited_ms={} targets={} waiting={} revision={}",
+            query.id(),
+            service.name,
+            started.elapsed().as_millis(),
+            service.targets.len(),
+            service.queue.lock().len(),
+            query.view.revision
+        );
+        Failure { may_have_run: false, response: None, cause }
+    })
 }
 
 /// Selects the eligible target with the lowest cost and returns it with that cost. A target qualifies if it is usable,
--- a/src/relay/choice.rs
+++ b/src/relay/choice.rs
@@ -22,6 +22,11 @@
 /// Longest time for which a target is avoided.
 const MAX_AVOIDANCE: Duration = Duration::from_secs(4);
 
+/// A target is down if this many consecutive sub-requests got no response, the last one within `DOWN_PERIOD`. After that
+/// time it is probed again.
+const DOWN_MISSING_RESPONSES: u32 = 2;
+const DOWN_PERIOD: Duration = Duration::from_millis(500);
+
 /// Bounds of a single latency ratio sample.
 const LATENCY_RATIO_BOUNDS: std::ops::RangeInclusive<f64> = 0.2..=50.0;
 
@@ -55,6 +60,7 @@
     failure_rate: f64,
     /// Consecutive sub-requests without a response.
     missing_responses: u32,
+    last_missing: Option<Instant>,
     avoid_until: Option<Instant>,
     /// When the averages were last decayed.
     updated: Instant,
@@ -70,6 +76,7 @@
             latency_ratio: 1.0,
             failure_rate: 0.0,
             missing_responses: 0,
+            last_missing: None,
             avoid_until: None,
             updated: now,
             in_flight: Vec::new(),
@@ -116,6 +123,7 @@
                     INITIAL_AVOIDANCE * 2u32.saturating_pow(self.missing_responses.min(8));
                 self.avoid_until = Some(now + avoidance.min(MAX_AVOIDANCE));
                 self.missing_responses += 1;
+                self.last_missing = Some(now);
             }
         }
     }
@@ -139,6 +147,12 @@
         cost
     }
 
+    /// Whether the target has not responded lately and need not be asked before other targets have been tried.
+    pub fn is_down(&self, now: Instant) -> bool {
+        let is_recent = |it: Instant| now.saturating_duration_since(it) < DOWN_PERIOD;
+        self.missing_responses >= DOWN_MISSING_RESPONSES && self.last_missing.is_some_and(is_recent)
+    }
+
     /// Whether the target has requests in flight but has not responded to any for longer than expected.
     pub fn is_stalled(&self, median: Duration, now: Instant) -> bool {
         let Some(oldest) = self.in_flight.iter().min() else { return false };
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -26,8 +26,15 @@
 
 use crate::{
     relay::{
-        buffer::ResponseBuffer, choice::Observation, host::Host, pool::Connection, request::Query,
-        settings::Headers, target::Target, typical::LatencyEstimate,
+        buffer::ResponseBuffer,
+        choice::Observation,
+        host::Host,
+        pool::Connection,
+        request::Query,
+        settings::Headers,
+        target::Target,
+        typical::LatencyEstimate,
+        wait::{self, WaitQueue},
     },
     route,
 };
@@ -126,15 +133,17 @@
     }
 }
 
-/// Counts an exchange as in flight at its target until it is dropped.
+/// Counts an exchange as in flight at its target until it is dropped, which wakes a sub-request that waits for room.
 struct InFlightGuard {
     target: Arc<Target>,
+    queue: WaitQueue,
     started_at: Instant,
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.target.stats.lock().end_request(self.started_at);
+        wait::wake_next(&self.queue);
     }
 }
 
@@ -143,13 +152,14 @@
     host: &Arc<Host>,
     query: &Arc<Query>,
     call_detach: &Arc<DetachFlag>,
+    queue: &WaitQueue,
     target: &Arc<Target>,
 ) -> ExchangeHandle {
     let (tx, outcome) = oneshot::channel();
     let started_at = Instant::now();
     target.stats.lock().start_request(started_at);
     target.cold_start.lock().record(started_at);
-    let in_flight = InFlightGuard { target: target.clone(), started_at };
+    let in_flight = InFlightGuard { target: target.clone(), queue: queue.clone(), started_at };
     let request_detach = query.detach.clone();
     let (host, query) = (host.clone(), query.clone());
     let task = tokio::spawn(async move {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -36,6 +36,7 @@
 mod target;
 mod typical;
 mod view;
+mod wait;
 
 pub use buffer::{BufferError, Buffers, MAX_BUFFERED_BYTES, ResponseBuffer};
 pub use choice::{Observation, TargetStats};
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -1,7 +1,10 @@
 //! A caller's request: its route, its deadlines, and the requests to targets and delegates that are derived from it.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -69,6 +72,8 @@
     uri: Uri,
     headers: HeaderMap,
     pub(super) body: Bytes,
+    /// How many more shards may be given up without missing the minimum coverage.
+    spare_shards: AtomicUsize,
     /// Set once the request has been answered or refused.
     pub(super) detach: Arc<DetachFlag>,
 }
@@ -105,6 +110,23 @@
         !quarantine.is_empty() && quarantine.contains(&self.fingerprint())
     }
 
+    /// Whether the route leads to several shards.
+    pub(super) fn has_shards(&self) -> bool {
+        matches!(self.route().config.to, To::Shards(_))
+    }
+
+    /// Whether the minimum coverage is reached without one more shard.
+    pub(super) fn has_spare_shards(&self) -> bool {
+        self.spare_shards.load(Ordering::Relaxed) > 0
+    }
+
+    /// Gives up a shard whose targets cannot be reached, so that the response does not wait for it. False if the minimum
+    /// coverage would be missed: then it is worth waiting until a target returns.
+    pub(super) fn give_up_shard(&self) -> bool {
+        let one_less = |it: usize| it.checked_sub(1);
+        self.spare_shards.fetch_update(Ordering::Relaxed, Ordering::Relaxed, one_less).is_ok()
+    }
+
     /// The request as it is sent to this target.
     pub(super) fn target_request(&self, names: &Headers, target: &Target) -> TargetRequest {
         let mut request = TargetRequest::new(Full::new(self.body.clone()));
@@ -188,6 +210,10 @@
             CallerConnection::New => CALLER_OVERHEAD + CONNECT_OVERHEAD,
             CallerConnection::Reused => CALLER_OVERHEAD,
         };
+        let spare_shards = match &route.to {
+            To::Shards(shards) => shards.services.len() - shards.min_shards(),
+            To::Service(_) | To::Split(_) => 0,
+        };
         response::strip_hop_by_hop(&mut headers);
         headers.remove(EXPECT);
         let uri = uri.path_and_query().map_or(Uri::from_static("/"), |it| Uri::from(it.clone()));
@@ -202,6 +228,7 @@
             uri,
             headers,
             body,
+            spare_shards: AtomicUsize::new(spare_shards),
             detach: Arc::default(),
             view,
         })
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -1,13 +1,13 @@
 //! The routing data of one revision of the configuration. Views share targets, budgets and latency estimates, whose
 //! state changes while a view is in use.
 
-use std::{cmp::Reverse, collections::HashSet, sync::Arc};
+use std::{cmp::Reverse, collections::HashSet, sync::Arc, time::Instant};
 
 use parking_lot::Mutex;
 
 use crate::{
     policy::{budget::Budget, ownership},
-    relay::{split::SplitPicker, target::Target, typical::LatencyEstimate},
+    relay::{split::SplitPicker, target::Target, typical::LatencyEstimate, wait::WaitQueue},
     route,
     state::Node,
 };
@@ -37,9 +37,16 @@
     /// How many hosts per region serve requests for the service.
     pub(super) hosts_per_region: usize,
     pub(super) retry_budget: Arc<Mutex<Budget>>,
+    /// Sub-requests that wait until a target has room.
+    pub(super) queue: WaitQueue,
 }
 
 impl Service {
+    /// Whether none of the service's targets has responded lately.
+    pub(super) fn is_down(&self, now: Instant) -> bool {
+        self.targets.iter().all(|it| it.stats.lock().is_down(now))
+    }
+
     /// Whether the service has a target in this zone.
     pub(super) fn has_targets_in(&self, zone: &str) -> bool {
         self.targets.iter().any(|it| it.zone == zone)
