policy: the reserve of the retry budget follows the retries that are wanted; tests of the queue

Cause: a fixed reserve of half of the budget kept a process that had just started from hedging (silent_hedged and first_request_hedged failed). A target that could not be reached was tried again only with a token, although nothing had arrived. Change: the reserve grows with the retries that are wanted and shrinks with regular sub-requests; after a pause in which no target was reached the next attempt needs no token.

--- a/src/policy/budget.rs
+++ b/src/policy/budget.rs
@@ -15,6 +15,12 @@
 /// A token is counted in hundredths, so that integers represent any percentage exactly.
 const UNITS_PER_TOKEN: u64 = 100;
 
+/// The reserve for retries is at most the capacity divided by this.
+const MAX_RESERVE_DIVISOR: u64 = 2;
+
+/// The reserve shrinks by what regular sub-requests earn, divided by this.
+const RESERVE_DECAY_DIVISOR: u64 = 2;
+
 /// A token bucket that is filled by regular sub-requests, not by time: each of them adds `percent` / 100 of a token. A
 /// hedge or a retry takes a whole token.
 #[derive(Clone, Debug)]
@@ -22,13 +28,15 @@
     percent: u64,
     units: u64,
     capacity: u64,
+    /// Units that [`Self::try_spend_above_reserve`] leaves. It grows with the retries that were wanted lately.
+    reserve: u64,
 }
 
 impl Budget {
     /// Makes a full budget with a capacity of `burst` tokens, or of none if `percent` is 0.
     pub fn new(percent: u64, burst: u32) -> Self {
         let capacity = if percent == 0 { 0 } else { u64::from(burst) * UNITS_PER_TOKEN };
-        Self { percent, units: capacity, capacity }
+        Self { percent, units: capacity, capacity, reserve: 0 }
     }
 
     /// Changes the capacity to `burst` tokens. Tokens above it are discarded.
@@ -39,27 +47,32 @@
 
     /// Adds the tokens that `n` regular sub-requests earn, up to the capacity.
     pub fn earn(&mut self, n: u64) {
-        self.units = self.units.saturating_add(n.saturating_mul(self.percent)).min(self.capacity);
+        let earned = n.saturating_mul(self.percent);
+        self.units = self.units.saturating_add(earned).min(self.capacity);
+        self.reserve = self.reserve.saturating_sub(earned / RESERVE_DECAY_DIVISOR);
     }
 
     /// Takes `n` tokens if the budget holds that many, else none.
     pub fn try_spend(&mut self, n: u64) -> bool {
-        let Some(rest) = self.units.checked_sub(n.saturating_mul(UNITS_PER_TOKEN)) else {
-            return false;
-        };
-        self.units = rest;
-        true
+        let needed = n.saturating_mul(UNITS_PER_TOKEN);
+        let max_reserve = self.capacity / MAX_RESERVE_DIVISOR;
+        self.reserve = self.reserve.saturating_add(needed).min(max_reserve);
+        self.take(needed)
     }
 
-    /// Like [`Self::try_spend`], but leaves a reserve of half of the capacity.
+    /// Like [`Self::try_spend`], but leaves a reserve while tokens are wanted through that method. For hedges, because
+    /// a failed sub-request needs a token more than a late one.
     pub fn try_spend_above_reserve(&mut self, n: u64) -> bool {
-        let needed = n.saturating_mul(UNITS_PER_TOKEN) + self.capacity / RESERVE_DIVISOR;
-        self.units >= needed && self.try_spend(n)
+        let needed = n.saturating_mul(UNITS_PER_TOKEN);
+        self.units >= needed.saturating_add(self.reserve) && self.take(needed)
     }
-}
 
-/// The share of the capacity that [`Budget::try_spend_above_reserve`] leaves, as a divisor.
-const RESERVE_DIVISOR: u64 = 2;
+    fn take(&mut self, units: u64) -> bool {
+        let Some(rest) = self.units.checked_sub(units) else { return false };
+        self.units = rest;
+        true
+    }
+}
 
 /// Whether a failed sub-request may be retried on another replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -243,10 +243,11 @@
         while !self.failure.may_have_run && Instant::now() + backoff < end {
             sleep(backoff).await;
             backoff *= 2;
+            // If no attempt reached a target, the next one is the first that may.
+            self.replaces_unreachable = self.reached_no_target();
             self.tried.clear();
             self.unreachable.clear();
             self.refusals = 0;
-            self.replaces_unreachable = false;
             if let Some(target) = self.next_target(query, service, max_attempts, false) {
                 return Some(target);
             }
@@ -258,6 +259,7 @@
     fn reached_no_target(&self) -> bool {
         !self.failure.may_have_run
             && self.refusals == 0
+            && !self.tried.is_empty()
             && self.unreachable.len() == self.tried.len()
     }
 
--- a/tests/policy/budget.rs
+++ b/tests/policy/budget.rs
@@ -10,6 +10,37 @@
 use proptest::prelude::*;
 use strum::VariantArray;
 
+/// Guards against hedges that use up the budget while sub-requests fail, so that those cannot be retried: of 100
+/// sub-requests half are shed and all others are late.
+#[test]
+fn reserve_left_to_retries() {
+    let mut budget = Budget::new(20, 10);
+    let (mut retries, mut hedges) = (0, 0);
+    for i in 0..100 {
+        budget.earn(1);
+        if i % 2 == 0 {
+            retries += usize::from(budget.try_spend(1));
+        } else {
+            hedges += usize::from(budget.try_spend_above_reserve(1));
+        }
+    }
+    assert!(retries >= 20 && hedges <= 5, "{retries} retries, {hedges} hedges");
+}
+
+/// Guards against hedges that wait for a reserve that nobody needs.
+#[test]
+fn reserve_empty_without_failures() {
+    let mut budget = Budget::new(20, 10);
+    assert_eq!((0..20).filter(|_| budget.try_spend_above_reserve(1)).count(), 10);
+    budget.earn(5);
+    assert!(budget.try_spend_above_reserve(1));
+    assert!(!budget.try_spend(1), "adds to the reserve");
+    budget.earn(5);
+    assert!(!budget.try_spend_above_reserve(1), "left to the next retry");
+    budget.earn(10);
+    assert!(budget.try_spend_above_reserve(1), "no retry was wanted since");
+}
+
 proptest! {
     #![proptest_config(crate::cases(1_000))]
 
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -9,6 +9,7 @@
 mod ownership;
 mod pick;
 mod pin;
+mod queue;
 
 use std::net::SocketAddr;
 
--- a/tests/relay/gather.rs
+++ b/tests/relay/gather.rs
@@ -52,6 +52,42 @@
     assert_eq!(servers[2].request_count(), 1);
 }
 
+/// Announces shards `a`, whose only target does not listen, and `b`, which answers.
+async fn with_down_shard(min_coverage: u64) -> (Harness, StubTarget, std::net::SocketAddr) {
+    let harness = Harness::start().await;
+    let good = StubTarget::start(Behaviour::Answer(record(2))).await;
+    let down = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    harness.announce("a-1", "a", "near", down);
+    harness.announce("b-1", "b", "near", good.addr);
+    harness.put_routes(vec![gather(&["a", "b"], min_coverage)]).await;
+    (harness, good, down)
+}
+
+/// Guards against a response that waits until the objective for a shard that cannot be reached.
+#[tokio::test]
+async fn down_shard_given_up() {
+    let (harness, _good, _down) = with_down_shard(PPM_SCALE / 2).await;
+    for _ in 0..4 {
+        let start = Instant::now();
+        let (status, headers, _) = harness.get("/all/x").await;
+        assert_eq!((status, headers["missing"].to_str().unwrap()), (StatusCode::OK, "1"));
+        assert!(start.elapsed() < Duration::from_millis(500), "{:?}", start.elapsed());
+    }
+}
+
+/// Guards against a shard that is given up although the response needs it and its target returns.
+#[tokio::test]
+async fn needed_down_shard_awaited() {
+    let (harness, _good, down) = with_down_shard(PPM_SCALE).await;
+    let request = harness.get("/all/x");
+    let target = async {
+        tokio::time::sleep(Duration::from_millis(120)).await;
+        StubTarget::start_at(down, Behaviour::Answer(record(1))).await
+    };
+    let ((status, headers, _), _target) = futures::join!(request, target);
+    assert_eq!((status, headers["missing"].to_str().unwrap()), (StatusCode::OK, "0"));
+}
+
 /// Guards against a response that has enough coverage but waits for another shard beyond the objective.
 #[tokio::test]
 async fn partial_answer_at_objective() {
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -70,7 +70,11 @@
 
 impl StubTarget {
     pub async fn start(behaviour: Behaviour) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), behaviour).await
+    }
+
+    pub async fn start_at(addr: SocketAddr, behaviour: Behaviour) -> Self {
+        let listener = TcpListener::bind(addr).await.unwrap();
         let server = Self {
             addr: listener.local_addr().unwrap(),
             behaviour: Arc::new(Mutex::new(behaviour)),
