--- a/tests/policy/queue.rs
+++ b/tests/policy/queue.rs
@@ -139,8 +139,8 @@
     mut take: impl FnMut(Instant) -> Option<Arrival>,
 ) -> Outcome {
     let mut arrivals: VecDeque<_> = overloaded_shard(start).collect();
-    let mut outcome = Outcome::default();
-    outcome.needed = arrivals.iter().filter(|it| !it.is_spare).count();
+    let needed = arrivals.iter().filter(|it| !it.is_spare).count();
+    let mut outcome = Outcome { needed, ..Outcome::default() };
     for tick in 0..10_000 / (SERVICE_TIME_MS / SLOTS) {
         let now = start + ms(tick * SERVICE_TIME_MS / SLOTS);
         while arrivals.front().is_some_and(|it| it.at <= now) {
