--- a/src/relay/typical.rs
+++ b/src/relay/typical.rs
@@ -5,10 +5,6 @@
 /// The quantile above which a sub-request is late.
 const LATE_QUANTILE: f64 = 0.94;
 
-/// A sub-request that takes this many times the median is late, whatever the quantile says. Otherwise a few slow targets
-/// would raise the quantile above their own latency, and no second target would be asked in time.
-const MAX_LATE_RATIO: f64 = 3.0;
-
 /// The median, to which the latencies of targets are compared.
 const MEDIAN_QUANTILE: f64 = 0.5;
 
@@ -49,7 +45,7 @@
 
     /// The latency above which a sub-request is late.
     pub fn late_threshold(&self) -> Duration {
-        Duration::from_secs_f64(self.late_s.min(self.median_s * MAX_LATE_RATIO))
+        Duration::from_secs_f64(self.late_s)
     }
 }
 
