--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -1,9 +1,9 @@
 //! The relay: forwards callers' requests to targets according to a routing table. A route leads to one target, or to
 //! one target of each shard, whose results are merged.
 //!
-//! Modules by lifetime of what they hold: `server`, `request`, `gather`, `group`, `delegate` and `call` work on a
-//! request, `exchange`, `pool` and `peer` on a connection, `view` on a revision of the configuration, the others on the
-//! process.
+//! Modules by lifetime of what they hold: `server`, `request`, `gather`, `group`, `delegate`, `call` and `wait` work on a
+//! request, `buffer` on a response, `exchange`, `pool` and `peer` on a connection, `view` on a revision of the
+//! configuration, the others on the process.
 //!
 //! Locks of `parking_lot` are never held across an await. They nest in three places only: the builder's lock around
 //! those of targets and budgets, the lock of a target's statistics around that of its cold-start limiter, and the lock
