--- a/review/standin/cluster.rs
+++ b/review/standin/cluster.rs
@@ -42,11 +42,15 @@
     pub machines: Vec<Machine>,
     first_port: u16,
     dir: PathBuf,
+    /// Whether the settings say that the whole system starts for the first time.
+    bootstrap: bool,
+    /// `memoryMb` in the settings.
+    memory_mb: u64,
 }
 
 impl Cluster {
     /// Starts a machine with a disk in each zone and this many without one, and waits until each control host responds.
-    pub fn start(without_disk: usize) -> Result<Self, String> {
+    pub fn start(without_disk: usize, memory_mb: u64) -> Result<Self, String> {
         let dir = std::env::temp_dir().join(format!("gentianpass-review-{}", std::process::id()));
         fs::create_dir_all(&dir).map_err(|err| format!("{}: {err}", dir.display()))?;
         let count = DISK_MACHINES + without_disk;
@@ -64,7 +68,8 @@
                 relay: None,
             }
         });
-        let mut cluster = Self { machines: machines.collect(), first_port, dir };
+        let mut cluster =
+            Self { machines: machines.collect(), first_port, dir, bootstrap: true, memory_mb };
         for i in 0..cluster.machines.len() {
             if i < DISK_MACHINES {
                 cluster.start_role(i, "control")?;
@@ -166,7 +171,7 @@
 region = "{region}"
 internalPorts = [{first},{last}]
 seeds = [{seeds}]
-bootstrap = true
+bootstrap = {bootstrap}
 inTolerance = true
 {data}
 discovery = "registration"
@@ -181,7 +186,7 @@
 [limits]
 cpuShare = 0.45
 cores = 1
-memoryMb = 260
+memoryMb = {memory_mb}
 maxFds = 4100
 linkMbps = 1000.0
 diskMb = 64
@@ -211,6 +216,8 @@
 ttl_max_s = 5
 "#,
             name = it.name,
+            bootstrap = self.bootstrap,
+            memory_mb = self.memory_mb,
             ip = it.ip,
             zone = it.zone,
             region = it.region,
@@ -222,6 +229,49 @@
         )
     }
 
+    /// Kills the control processes of all machines at the same moment.
+    pub fn kill_controls(&mut self) {
+        for child in self.machines.iter_mut().filter_map(|it| it.control.as_mut()) {
+            let _ = child.kill();
+        }
+    }
+
+    /// Does the platform's part once: starts each control process that has ended, as without a bootstrap, and kills each
+    /// one that uses more than `memory_bytes`. Returns the names of the killed ones.
+    pub fn supervise_controls(&mut self, memory_bytes: u64) -> Result<Vec<String>, String> {
+        let mut killed = Vec::new();
+        for i in 0..DISK_MACHINES {
+            let name = self.machines[i].name.clone();
+            let Some(child) = &mut self.machines[i].control else { continue };
+            if !matches!(child.try_wait(), Ok(None)) {
+                self.bootstrap = false;
+                self.start_role(i, "control")?;
+                continue;
+            }
+            if resident_bytes(child.id()).is_some_and(|it| it > memory_bytes) {
+                let _ = child.kill();
+                killed.push(name);
+            }
+        }
+        Ok(killed)
+    }
+
+    /// The most memory that the control process of each machine has used since its start, in bytes.
+    pub fn control_peaks(&self) -> Vec<u64> {
+        let ids = self.machines.iter().filter_map(|it| it.control.as_ref()).map(Child::id);
+        ids.map(|it| status_bytes(it, "VmHWM:").unwrap_or(0)).collect()
+    }
+
+    /// The size of the files of each control host, in bytes.
+    pub fn disk_bytes(&self) -> Vec<u64> {
+        let dirs = self.machines[..DISK_MACHINES].iter().map(|it| format!("{}-data", it.name));
+        let size = |it: String| {
+            let files = fs::read_dir(self.dir.join(it)).into_iter().flatten().flatten();
+            files.filter_map(|it| it.metadata().ok()).map(|it| it.len()).sum()
+        };
+        dirs.map(size).collect()
+    }
+
     /// Sends SIGTERM to the relay of a machine.
     pub fn terminate_relay(&self, machine: usize) -> Result<(), String> {
         let relay = self.machines[machine].relay.as_ref().ok_or("the relay is not running")?;
@@ -243,10 +293,20 @@
 
     /// Reads the configuration back from one control host.
     pub fn get_config(&self, machine: usize) -> Result<(u16, String), String> {
+        self.reader(machine)()
+    }
+
+    /// A function that reads the configuration back from one control host.
+    pub fn reader(
+        &self,
+        machine: usize,
+    ) -> impl FnOnce() -> Result<(u16, String), String> + Send + use<> {
         let control = self.addr(machine, CONTROL);
-        let response = http::call(control, "GET", "/config/get", "", Duration::from_secs(2))
-            .map_err(|err| format!("{control}: {err}"))?;
-        Ok((response.status().unwrap_or(0), response.text()))
+        move || {
+            let response = http::call(control, "GET", "/config/get", "", Duration::from_secs(2))
+                .map_err(|err| format!("{control}: {err}"))?;
+            Ok((response.status().unwrap_or(0), response.text()))
+        }
     }
 }
 
@@ -265,6 +325,17 @@
     }
 }
 
+fn resident_bytes(pid: u32) -> Option<u64> {
+    status_bytes(pid, "VmRSS:")
+}
+
+/// A field of the kernel's status of a process that is given in kB.
+fn status_bytes(pid: u32, field: &str) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find_map(|it| it.strip_prefix(field))?;
+    Some(line.trim().strip_suffix(" kB")?.parse::<u64>().ok()? << 10)
+}
+
 /// The first of adjacent ports that are free at all addresses.
 fn free_ports(ips: &[IpAddr]) -> Option<u16> {
     let seed = SystemTime::now().duration_since(UNIX_EPOCH).ok()?.subsec_nanos();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,6 +11,7 @@
 mod scenario_config;
 mod scenario_crash;
 mod scenario_failback;
+mod scenario_restart;
 mod server;
 
 use std::{path::PathBuf, process::ExitCode};
@@ -35,6 +36,7 @@
     let result = match scenario.as_str() {
         "failback" => scenario_failback::run(&dir, trouble),
         "crash" => scenario_crash::run(&dir, trouble),
+        "restart" => scenario_restart::run(&dir, trouble),
         "same-version" => scenario_config::run(&dir, trouble),
         other => Err(format!("unknown scenario {other:?}")),
     };
--- a/review/standin/scenario_config.rs
+++ b/review/standin/scenario_config.rs
@@ -21,7 +21,7 @@
 
 pub fn run(dir: &Path, trouble: bool) -> Result<Verdict, Fault> {
     let record = Record::new();
-    let cluster = Cluster::start(0)?;
+    let cluster = Cluster::start(0, 260)?;
     let put = |machine: usize, label: &str, text: &str| -> Result<u16, Fault> {
         let (status, body) = cluster.put_config(machine, text)?;
         record.add(format!("{label} sent to {}: {status} {body}", cluster.machines[machine].name));
--- a/review/standin/scenario_crash.rs
+++ b/review/standin/scenario_crash.rs
@@ -45,7 +45,7 @@
 
 pub fn run(dir: &Path, trouble: bool) -> Result<Verdict, Fault> {
     let record = Record::new();
-    let cluster = Cluster::start(MACHINES_WITHOUT_DISK)?;
+    let cluster = Cluster::start(MACHINES_WITHOUT_DISK, 260)?;
     let config = r#"{"version":1,"routes":[{"name":"r-order","host":"orders.example","pathPrefix":"/order/","routeType":"safe","timeoutMs":3000,"targetLatencyMs":500,"priority":2,"service":"order-intake","maxAttempts":2,"allowedRegions":[]}],"services":[{"name":"order-intake","healthPath":"/health","maxConns":130,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":0.0}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
     let (status, body) = cluster.put_config(0, config)?;
     if status != 200 {
--- a/review/standin/scenario_failback.rs
+++ b/review/standin/scenario_failback.rs
@@ -37,7 +37,7 @@
 
 pub fn run(dir: &Path, trouble: bool) -> Result<Verdict, Fault> {
     let record = Record::new();
-    let cluster = Cluster::start(0)?;
+    let cluster = Cluster::start(0, 260)?;
     let config = format!(
         r#"{{"version":1,"routes":[{{"name":"r-print","host":"print.example","pathPrefix":"/print/","routeType":"safe","timeoutMs":3000,"targetLatencyMs":500,"priority":1,"service":"print-queue","maxAttempts":2,"allowedRegions":[]}}],"services":[{{"name":"print-queue","healthPath":"/health","maxConns":130,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":{COLD_PER_S}.0}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
     );
