control: the log is compacted by bytes too, and on a full disk

An entry with a route table has 220 kB, so the log filled a disk of 64 MB long before, and on a full disk nothing is proposed that would reach the count.

Errors after the renaming of the new log end the process, because "disk full" at that point left the open file without a name (by reading).

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -38,9 +38,9 @@
 /// alone. Two such messages fit into an RPC frame.
 const MAX_MESSAGE_BYTES: usize = 256 << 10;
 
-/// One part in this many of `snapshot_entries` stays in the log before a snapshot, so that a follower that is slightly
-/// behind gets entries instead of the snapshot.
-const TRAILING_ENTRIES_DIVISOR: u64 = 4;
+/// One part in this many of `snapshot_entries` and `snapshot_bytes` stays in the log before a snapshot, so that a
+/// follower that is slightly behind gets entries instead of the snapshot.
+pub(super) const TRAILING_DIVISOR: u64 = 4;
 
 /// Sends the result of an input back to the task that waits for it.
 pub type Responder<T> = oneshot::Sender<Result<T>>;
@@ -329,6 +329,7 @@
         heartbeat_ms: host.cfg.heartbeat_ms,
         seed: random(),
         max_message_bytes: MAX_MESSAGE_BYTES,
-        trailing_entries: host.cfg.snapshot_entries / TRAILING_ENTRIES_DIVISOR,
+        trailing_entries: host.cfg.snapshot_entries / TRAILING_DIVISOR,
+        trailing_bytes: (host.cfg.snapshot_bytes / TRAILING_DIVISOR) as usize,
     }
 }
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -2,7 +2,10 @@
 //! leader also expires entry hosts and targets, advances the clock of the log and repairs the membership.
 
 use crate::{
-    control::{driver::Driver, repair},
+    control::{
+        driver::{Driver, TRAILING_DIVISOR},
+        repair,
+    },
     event,
     raft::{Event, MemberChange, Role},
     state::{Change, Phase},
@@ -14,6 +17,8 @@
 /// How often the leader commits a `Tick`, which removes expired suspects and claims also if nothing else changes.
 const CLOCK_INTERVAL_MS: u64 = 60_000;
 const DISK_CHECK_INTERVAL_MS: u64 = 1_000;
+/// Shortest time between two snapshots. It limits the attempts while the disk has no space for one.
+const SNAPSHOT_INTERVAL_MS: u64 = 250;
 /// How often a leader with a full disk tries to transfer leadership. Each transfer costs an election.
 const LEADERSHIP_TRANSFER_INTERVAL_MS: u64 = 10_000;
 const METRICS_INTERVAL_MS: u64 = 1_000;
@@ -23,6 +28,7 @@
 /// The next due time of each task, in milliseconds of the thread's clock.
 #[derive(Default)]
 pub struct Schedule {
+    snapshot: u64,
     liveness: u64,
     repair: u64,
     clock: u64,
@@ -48,7 +54,9 @@
     /// Runs the tasks that are due. While the disk is full, the leader proposes nothing.
     pub(super) fn run_periodic_tasks(&mut self) -> eyre::Result<()> {
         let now_ms = self.now_ms();
-        if self.core.applied() >= self.core.snapshot_index() + self.host.cfg.snapshot_entries {
+        if self.needs_snapshot()
+            && is_due(&mut self.schedule.snapshot, now_ms, SNAPSHOT_INTERVAL_MS)
+        {
             self.compact()?;
         }
         if self.log.is_disk_full()
@@ -79,6 +87,20 @@
         Ok(())
     }
 
+    /// Whether the log has reached its limit in entries or bytes. On a full disk, any log that a snapshot would
+    /// shorten counts, because that may free enough space to continue.
+    fn needs_snapshot(&self) -> bool {
+        let cfg = &self.host.cfg;
+        let new_entries = self.core.applied() - self.core.snapshot_index();
+        let max_bytes = if self.log.is_disk_full() {
+            cfg.snapshot_bytes / TRAILING_DIVISOR
+        } else {
+            cfg.snapshot_bytes
+        };
+        new_entries >= cfg.snapshot_entries
+            || (new_entries > 0 && self.log.size_bytes() > max_bytes)
+    }
+
     /// Takes a snapshot of the state machine, so that the core can drop older log entries.
     fn compact(&mut self) -> eyre::Result<()> {
         let state_machine = self.host.state_machine.lock();
--- a/src/raft/core.rs
+++ b/src/raft/core.rs
@@ -28,6 +28,8 @@
     pub max_message_bytes: usize,
     /// Number of entries kept before a snapshot, so that slow followers need not receive the snapshot.
     pub trailing_entries: u64,
+    /// Limit on the size of these entries, in bytes.
+    pub trailing_bytes: usize,
 }
 
 /// The durable state of a member as read from disk at start.
@@ -357,7 +359,8 @@
         if index > self.applied {
             return;
         }
-        let compacted = self.log.compact(index, data, self.opts.trailing_entries);
+        let Options { trailing_entries, trailing_bytes, .. } = self.opts;
+        let compacted = self.log.compact(index, data, trailing_entries, trailing_bytes);
         if let Some((snapshot, entries)) = compacted {
             self.snapshot_actions.push(Action::SaveSnapshot(snapshot, entries));
         }
--- a/src/raft/log.rs
+++ b/src/raft/log.rs
@@ -110,13 +110,15 @@
         self.snapshot.as_ref()
     }
 
-    /// Makes `data` the snapshot at `index` and drops the entries before it, except the last `trailing`. Returns the
-    /// snapshot and the retained entries, or none if a snapshot at or after `index` exists.
+    /// Makes `data` the snapshot at `index` and drops the entries before it, except the last `trailing_entries` as far
+    /// as they fit into `trailing_bytes`. Returns the snapshot and the retained entries, or none if a snapshot at or
+    /// after `index` exists.
     pub fn compact(
         &mut self,
         index: Index,
         data: Vec<u8>,
-        trailing: u64,
+        trailing_entries: u64,
+        trailing_bytes: usize,
     ) -> Option<(Arc<Snapshot>, Vec<Entry>)> {
         if self.snapshot.as_ref().is_some_and(|it| it.index >= index) {
             return None;
@@ -127,7 +129,13 @@
         let membership = self.memberships[0].1.clone();
         let snapshot = Arc::new(Snapshot { index, term, membership, data });
         self.snapshot = Some(snapshot.clone());
-        let keep_after = index.saturating_sub(trailing);
+        let mut bytes = 0;
+        let before = self.entries.iter().rev().skip_while(|it| it.index > index);
+        let trailing = before.take(trailing_entries as usize).take_while(|it| {
+            bytes += it.bytes();
+            bytes <= trailing_bytes
+        });
+        let keep_after = index - trailing.count() as u64;
         while self.entries.front().is_some_and(|it| it.index <= keep_after)
             && let Some(first) = self.entries.pop_front()
         {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -199,6 +199,8 @@
     pub voters: u64,
     /// A snapshot replaces the log entries when this many have been applied since the previous one.
     pub snapshot_entries: u64,
+    /// A snapshot replaces the log entries also when the log file is larger than this, in bytes.
+    pub snapshot_bytes: u64,
 }
 
 impl Settings for Control {
@@ -224,6 +226,7 @@
             repair_after_ms: rdr.number("repair_after_ms", 30_000, 1_000, 3_600_000),
             voters: rdr.number("voters", 0, 0, 21),
             snapshot_entries: rdr.number("snapshot_entries", 1_000, 10, 1_000_000),
+            snapshot_bytes: rdr.number("snapshot_bytes", 8 << 20, 1 << 20, 1 << 30),
         }
     }
 }
--- a/src/store/data_dir.rs
+++ b/src/store/data_dir.rs
@@ -45,7 +45,7 @@
     }
 
     /// Replaces a file atomically and durably: writes a new file, syncs it and renames it. After a crash the file has
-    /// either the old or the new content.
+    /// either the old or the new content. After [`Error::DiskFull`] it has the old one.
     pub fn replace(&self, name: &str, bytes: &[u8]) -> Result<()> {
         let new = self.file(&format!("{name}.new"));
         let written = File::create(&new).and_then(|mut it| {
@@ -64,7 +64,7 @@
     /// Makes the directory entries durable, so that a rename survives a crash.
     pub fn sync(&self) -> Result<()> {
         let synced = File::open(&self.path).and_then(|it| it.sync_all());
-        synced.map_err(|it| io_error(&self.path, it))
+        synced.map_err(|source| Error::Io { file: self.path.clone(), source })
     }
 
     /// Makes sure that the reserve file has its full size. Returns false if the disk is too full for it.
--- a/src/store/log.rs
+++ b/src/store/log.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::File,
-    io::{Seek, SeekFrom, Write},
+    io::{self, Seek, SeekFrom, Write},
     path::Path,
 };
 
@@ -101,7 +101,8 @@
         self.replace_log(entries)
     }
 
-    /// Replaces the log file by the current hard state and these entries.
+    /// Replaces the log file by the current hard state and these entries. After [`Error::DiskFull`] the old file is
+    /// still in use.
     fn replace_log(&mut self, entries: Vec<Entry>) -> Result<()> {
         let records: Vec<_> = std::iter::once(Record::Hard(self.hard))
             .chain(entries.into_iter().map(Record::Entry))
@@ -109,7 +110,9 @@
         let frame = frame::encode(&records);
         self.dir.replace("log", &frame)?;
         self.size_bytes = frame.len() as u64;
-        self.file = open_truncated(&self.dir, self.size_bytes)?;
+        let path = self.dir.file("log");
+        self.file = open_at_end(&path, self.size_bytes)
+            .map_err(|source| Error::Io { file: path, source })?;
         Ok(())
     }
 
@@ -220,13 +223,15 @@
 /// Opens the log for appending and truncates it to `end`.
 fn open_truncated(dir: &DataDir, end: u64) -> Result<File> {
     let path = dir.file("log");
-    let opened = File::options().write(true).open(&path).and_then(|mut it| {
-        it.set_len(end)?;
-        it.seek(SeekFrom::Start(end))?;
-        it.sync_all()?;
-        Ok(it)
-    });
-    opened.map_err(|it| io_error(&path, it))
+    open_at_end(&path, end).map_err(|it| io_error(&path, it))
+}
+
+fn open_at_end(path: &Path, end: u64) -> io::Result<File> {
+    let mut file = File::options().write(true).open(path)?;
+    file.set_len(end)?;
+    file.seek(SeekFrom::Start(end))?;
+    file.sync_all()?;
+    Ok(file)
 }
 
 fn corrupt(dir: &DataDir, name: &str, offset: usize, detail: &str) -> Error {
--- a/tests/control/storage.rs
+++ b/tests/control/storage.rs
@@ -1,11 +1,24 @@
 //! Durable state and settings: lost data folder, damaged log, full disk, invalid settings.
 
-use std::{fs, os::unix::fs::symlink, process::Command};
+use std::{fs, os::unix::fs::symlink, path::Path, process::Command};
 
+use gentianpass::{
+    route::Table,
+    state::{Change, Reply},
+};
 use hyper::Method;
 use uuid::Uuid;
 
-use crate::cluster::{Cluster, label_edit, label_value, wait_until};
+use crate::cluster::{Cluster, label_edit, label_value, submit, wait_until};
+
+/// Size of the operator's document in a large route table, in bytes.
+const DOCUMENT_BYTES: usize = 220_000;
+
+/// A route table as large as a configuration with several hundred routes.
+fn large_table(version: u64) -> Change {
+    let document = "x".repeat(DOCUMENT_BYTES);
+    Change::PutRoutes(Box::new(Table { version, document, ..Table::default() }))
+}
 
 /// Guards against a host that votes under its old identity after it lost its disk, and could so vote twice in a term.
 /// It must rejoin as a learner under a new identity, which then replaces the old one.
@@ -36,6 +49,32 @@
         .await;
 }
 
+/// Guards against a log that is compacted by its number of entries only: some hundred large changes filled the disk, and
+/// nothing was accepted any more. Three times the default of `snapshot_bytes` must be enough for the data folder.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_changes_keep_folder_bounded() {
+    const MAX_FOLDER_BYTES: u64 = 24 << 20;
+    const CHANGES: u64 = 130;
+    let cluster = Cluster::start("");
+    cluster.wait_for_leader(0).await;
+    let client = cluster.client(&[0, 1, 2]);
+    let mut largest = 0;
+    for version in 1..=CHANGES {
+        let reply = submit(&client, large_table(version)).await.expect("committed");
+        assert!(matches!(reply, Reply::Applied { .. }), "{reply:?}");
+        let folders = cluster.hosts.iter().map(|it| folder_bytes(&it.data));
+        largest = largest.max(folders.max().expect("hosts"));
+    }
+    println!("a data folder had at most {largest} bytes");
+    assert!(largest <= MAX_FOLDER_BYTES, "a data folder had {largest} bytes");
+}
+
+/// The size of all files in a folder. A file that is being replaced may be missed.
+fn folder_bytes(path: &Path) -> u64 {
+    let files = fs::read_dir(path).expect("folder").flatten();
+    files.filter_map(|it| it.metadata().ok()).map(|it| it.len()).sum()
+}
+
 /// Guards against a host that starts from a damaged log, and against an error message without the position of the
 /// damage.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/raft/cases.rs
+++ b/tests/raft/cases.rs
@@ -30,6 +30,7 @@
         seed: id as u64,
         max_message_bytes: 1_000,
         trailing_entries: 0,
+        trailing_bytes: usize::MAX,
     };
     let hard = HardState { term, vote: None, cluster: Some(1) };
     Core::new(opts, Recovered { hard, snapshot: None, entries }, 0)
--- a/tests/raft/node.rs
+++ b/tests/raft/node.rs
@@ -105,6 +105,7 @@
             seed,
             max_message_bytes: 200,
             trailing_entries: 4,
+            trailing_bytes: usize::MAX,
         };
         self.core = Some(Core::new(opts, recovered, now + self.clock_offset_ms));
     }
