control, store, raft: a restart replays the log without copies of it

Cause: the file and its decoded entries were in memory at once, all committed entries were copied into one Apply action, and every decoded change was kept until the last one had been applied.

Change: frames are read one after the other; the data of an entry is shared by its copies (bytes::Bytes, the same bytes on disk and wire); only replies are kept while entries are applied.

--- a/src/control/actions.rs
+++ b/src/control/actions.rs
@@ -9,7 +9,7 @@
     error::{Error, Kind},
     event::{self, Event},
     raft::{Action, Entry, Index, Membership, Message, Payload, Role, Save, Snapshot},
-    state::{Change, ObjectKind},
+    state::{Change, ChangeId, ObjectKind, Reply},
     store,
 };
 
@@ -85,19 +85,23 @@
         self.transport.send(addr, || host.peers.get(addr), message);
     }
 
+    /// Applies committed entries and answers their submitters. Keeps only the replies until all are applied, not the
+    /// decoded changes: after a restart the entries are the whole log.
     fn apply(&mut self, entries: &[Entry]) -> eyre::Result<()> {
-        let mut results = Vec::new();
+        let mut replies = Vec::new();
         let mut state_machine = self.host.state_machine.lock();
         for entry in entries {
-            results.extend(state_machine.apply(entry).wrap_err("cannot decode a log entry")?);
+            let applied = state_machine.apply(entry).wrap_err("cannot decode a log entry")?;
+            let Some(applied) = applied else { continue };
+            self.record_change(&applied);
+            replies.push((applied.entry.id, applied.reply));
         }
         let (index, revision) = (state_machine.index, state_machine.tables.config.revision);
         drop(state_machine);
         self.host.applied_index.send_replace(index);
         self.host.revision.send_if_modified(|it| std::mem::replace(it, revision) != revision);
-        for applied in results {
-            self.record_change(&applied);
-            self.answer_proposal(&applied);
+        for (id, reply) in replies {
+            self.answer_proposal(id, &reply);
         }
         for entry in entries {
             if let Payload::Membership(membership) = &entry.payload {
@@ -107,12 +111,12 @@
         Ok(())
     }
 
-    fn answer_proposal(&mut self, applied: &ApplyResult) {
-        let Some(pending) = self.pending_proposals.remove(&applied.entry.id) else { return };
+    fn answer_proposal(&mut self, id: ChangeId, reply: &Reply) {
+        let Some(pending) = self.pending_proposals.remove(&id) else { return };
         let elapsed = pending.received_at.elapsed().as_secs_f64();
         self.host.metrics.commit_seconds.with_label_values::<&str>(&[]).observe(elapsed);
         for responder in pending.responders {
-            let _ = responder.send(Ok(applied.reply.clone()));
+            let _ = responder.send(Ok(reply.clone()));
         }
     }
 
--- a/src/raft/message.rs
+++ b/src/raft/message.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::raft::Membership;
@@ -36,8 +37,8 @@
 pub enum Payload {
     /// No content. Each leader appends one first, to commit the entries of earlier terms.
     Noop,
-    /// A serialized command for the state machine.
-    Data(Vec<u8>),
+    /// A serialized command for the state machine. Copies of the entry share it.
+    Data(Bytes),
     /// A new membership. It takes effect when the entry is appended, not when it is committed.
     Membership(Membership),
 }
--- a/src/raft/replication.rs
+++ b/src/raft/replication.rs
@@ -27,7 +27,7 @@
             return;
         }
         for command in commands {
-            self.append(Payload::Data(command));
+            self.append(Payload::Data(command.into()));
         }
         self.broadcast(now_ms);
     }
--- a/src/store/frame.rs
+++ b/src/store/frame.rs
@@ -1,11 +1,15 @@
 //! Frames, the unit in which files are written and checked: a header with length and checksums, then a payload in
 //! bincode.
 
-use std::path::Path;
+use std::{
+    fs::File,
+    io::{BufReader, ErrorKind, Read},
+    path::PathBuf,
+};
 
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::store::{Error, Result};
+use crate::store::{Error, Result, data_dir::io_error};
 
 /// Size of the header: payload length, CRC32 of the payload, and CRC32 of these two fields, each a little-endian `u32`.
 const HEADER_BYTES: usize = 12;
@@ -13,10 +17,10 @@
 /// Smallest unit that a disk writes. A crash leaves each sector either written or not.
 const SECTOR_BYTES: usize = 512;
 
-/// Result of decoding a frame.
+/// Result of reading a frame.
 pub enum Decoded<T> {
-    /// The value of a complete frame, and the offset after the frame.
-    Frame(T, usize),
+    /// The value of a complete frame.
+    Frame(T),
     /// An incomplete frame at the end of the file, whose write was interrupted before it was synced.
     Torn,
 }
@@ -33,41 +37,96 @@
     buf
 }
 
-/// Decodes the frame at `offset`. A frame counts as torn if the file ends within it, if its header is all zero, or if
-/// it is the last one, its checksum does not match and a whole sector of its payload is zero: after a crash the file
-/// system may have extended the file without writing the data. Any other mismatch of a checksum is damage to synced
-/// data.
-pub fn decode<T: DeserializeOwned>(file: &Path, bytes: &[u8], offset: usize) -> Result<Decoded<T>> {
-    let corrupt = |detail: &str| Error::Corrupt {
-        file: file.to_owned(),
-        offset: offset as u64,
-        detail: detail.to_owned(),
-    };
-    let rest = &bytes[offset..];
-    let Some((header, rest)) = rest.split_at_checked(HEADER_BYTES) else {
-        return Ok(Decoded::Torn);
-    };
-    let field = |at: usize| u32::from_le_bytes([0, 1, 2, 3].map(|i| header[at + i]));
-    let (length, payload_crc, header_crc) = (field(0) as usize, field(4), field(8));
-    if crc32fast::hash(&header[..8]) != header_crc {
-        let unwritten = header.iter().all(|it| *it == 0);
-        return if unwritten {
-            Ok(Decoded::Torn)
-        } else {
-            Err(corrupt("frame header checksum mismatch"))
-        };
+/// Reads the frames of a file one after the other, so that only one of them is in memory.
+pub struct Reader {
+    path: PathBuf,
+    file: BufReader<File>,
+    /// Length of the file.
+    len: u64,
+    /// Offset of the next frame.
+    offset: u64,
+}
+
+impl Reader {
+    /// Opens a file; none if it does not exist.
+    pub fn open(path: PathBuf) -> Result<Option<Self>> {
+        let opened = File::open(&path).and_then(|it| Ok((it.metadata()?.len(), it)));
+        match opened {
+            Ok((len, file)) => Ok(Some(Self { path, file: BufReader::new(file), len, offset: 0 })),
+            Err(err) if err.kind() == ErrorKind::NotFound => Ok(None),
+            Err(err) => Err(io_error(&path, err)),
+        }
+    }
+
+    /// Offset of the next frame: the end of the last one that was read.
+    pub fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    /// Length of the file.
+    pub fn len(&self) -> u64 {
+        self.len
+    }
+
+    /// Whether all frames have been read.
+    pub fn is_at_end(&self) -> bool {
+        self.offset == self.len
     }
-    let Some((payload, after)) = rest.split_at_checked(length) else { return Ok(Decoded::Torn) };
-    if crc32fast::hash(payload) != payload_crc {
-        let torn = after.is_empty() && has_unwritten_sector(payload, offset + HEADER_BYTES);
-        return if torn {
-            Ok(Decoded::Torn)
-        } else {
-            Err(corrupt("frame payload checksum mismatch"))
-        };
+
+    /// Reads the next frame. A frame counts as torn if the file ends within it, if its header is all zero, or if it is
+    /// the last one, its checksum does not match and a whole sector of its payload is zero: after a crash the file
+    /// system may have extended the file without writing the data. Any other mismatch of a checksum is damage to synced
+    /// data.
+    pub fn read<T: DeserializeOwned>(&mut self) -> Result<Decoded<T>> {
+        let left = self.len - self.offset;
+        if left < HEADER_BYTES as u64 {
+            return Ok(Decoded::Torn);
+        }
+        let header = self.read_bytes(HEADER_BYTES)?;
+        let field = |at: usize| u32::from_le_bytes([0, 1, 2, 3].map(|i| header[at + i]));
+        let (length, payload_crc, header_crc) = (field(0) as usize, field(4), field(8));
+        if crc32fast::hash(&header[..8]) != header_crc {
+            let unwritten = header.iter().all(|it| *it == 0);
+            return if unwritten {
+                Ok(Decoded::Torn)
+            } else {
+                Err(self.corrupt("frame header checksum mismatch"))
+            };
+        }
+        let frame_bytes = (HEADER_BYTES + length) as u64;
+        if frame_bytes > left {
+            return Ok(Decoded::Torn);
+        }
+        let payload = self.read_bytes(length)?;
+        if crc32fast::hash(&payload) != payload_crc {
+            let torn = frame_bytes == left
+                && has_unwritten_sector(&payload, self.offset as usize + HEADER_BYTES);
+            return if torn {
+                Ok(Decoded::Torn)
+            } else {
+                Err(self.corrupt("frame payload checksum mismatch"))
+            };
+        }
+        let value = bincode::deserialize(&payload).map_err(|err| self.corrupt(&err.to_string()))?;
+        self.offset += frame_bytes;
+        Ok(Decoded::Frame(value))
+    }
+
+    /// The error for damage in the next frame.
+    pub fn corrupt(&self, detail: &str) -> Error {
+        self.corrupt_at(self.offset, detail)
+    }
+
+    /// The error for damage at an offset.
+    pub fn corrupt_at(&self, offset: u64, detail: &str) -> Error {
+        Error::Corrupt { file: self.path.clone(), offset, detail: detail.to_owned() }
+    }
+
+    fn read_bytes(&mut self, count: usize) -> Result<Vec<u8>> {
+        let mut bytes = vec![0; count];
+        self.file.read_exact(&mut bytes).map_err(|err| io_error(&self.path, err))?;
+        Ok(bytes)
     }
-    let value = bincode::deserialize(payload).map_err(|err| corrupt(&err.to_string()))?;
-    Ok(Decoded::Frame(value, offset + HEADER_BYTES + length))
 }
 
 /// Whether any sector-aligned piece of the payload is all zero. `offset` is the payload's offset in the file.
--- a/src/store/log.rs
+++ b/src/store/log.rs
@@ -62,13 +62,13 @@
             None => create_identity(&dir)?,
         };
         let snapshot: Option<Snapshot> = read_single_frame(&dir, "snapshot")?;
-        let Some(bytes) = dir.read("log")? else {
+        let Some(mut reader) = frame::Reader::open(dir.file("log"))? else {
             return Err(corrupt(&dir, "log", 0, "the file is missing"));
         };
-        let (hard, entries, end) = replay(&dir, &bytes)?;
-        let torn_bytes = (bytes.len() - end) as u64;
-        let file = open_truncated(&dir, end as u64)?;
-        let mut log = Self { dir, file, size_bytes: end as u64, hard, full_at_bytes: None };
+        let (hard, entries) = replay(&mut reader)?;
+        let (size_bytes, torn_bytes) = (reader.offset(), reader.len() - reader.offset());
+        let file = open_truncated(&dir, size_bytes)?;
+        let mut log = Self { dir, file, size_bytes, hard, full_at_bytes: None };
         log.check_disk_space()?;
         let mut recovered = Recovered { hard, snapshot, entries };
         if recovered.discard_stale_entries() {
@@ -173,38 +173,33 @@
 
 /// Reads a file that holds exactly one frame. Such files are replaced atomically, so a torn frame means damage.
 fn read_single_frame<T: for<'de> Deserialize<'de>>(dir: &DataDir, name: &str) -> Result<Option<T>> {
-    let Some(bytes) = dir.read(name)? else { return Ok(None) };
-    match frame::decode(&dir.file(name), &bytes, 0)? {
-        Decoded::Frame(value, end) if end == bytes.len() => Ok(Some(value)),
-        Decoded::Frame(_, end) => Err(corrupt(dir, name, end, "unexpected bytes after the frame")),
-        Decoded::Torn => Err(corrupt(dir, name, bytes.len(), "the file is truncated")),
+    let Some(mut reader) = frame::Reader::open(dir.file(name))? else { return Ok(None) };
+    match reader.read()? {
+        Decoded::Frame(value) if reader.is_at_end() => Ok(Some(value)),
+        Decoded::Frame(_) => Err(reader.corrupt("unexpected bytes after the frame")),
+        Decoded::Torn => Err(corrupt(dir, name, reader.len(), "the file is truncated")),
     }
 }
 
-/// Replays the records of the log up to a torn frame. Returns hard state, entries and the offset of the end of the last
-/// complete frame.
-fn replay(dir: &DataDir, bytes: &[u8]) -> Result<(HardState, Vec<Entry>, usize)> {
-    let path = dir.file("log");
+/// Replays the records of the log up to its end or a torn frame. Returns hard state and entries.
+fn replay(reader: &mut frame::Reader) -> Result<(HardState, Vec<Entry>)> {
     let mut hard = HardState::default();
     let mut entries: Vec<Entry> = Vec::new();
-    let mut end = 0;
-    while end < bytes.len() {
-        let Decoded::Frame(records, next) = frame::decode::<Vec<Record>>(&path, bytes, end)? else {
-            break;
-        };
+    while !reader.is_at_end() {
+        let offset = reader.offset();
+        let Decoded::Frame(records) = reader.read::<Vec<Record>>()? else { break };
         for record in records {
             match record {
                 Record::Hard(it) => hard = it,
                 Record::Entry(it) => replay_entry(&mut entries, it)
-                    .map_err(|at| corrupt(dir, "log", end, &format!("gap before entry {at}")))?,
+                    .map_err(|at| reader.corrupt_at(offset, &format!("gap before entry {at}")))?,
             }
         }
-        end = next;
     }
-    if end == 0 {
-        return Err(corrupt(dir, "log", 0, "the first frame is missing or incomplete"));
+    if reader.offset() == 0 {
+        return Err(reader.corrupt("the first frame is missing or incomplete"));
     }
-    Ok((hard, entries, end))
+    Ok((hard, entries))
 }
 
 /// Adds an entry after those that precede it and drops all others. Returns its index as error if there is a gap before
@@ -234,6 +229,6 @@
     Ok(file)
 }
 
-fn corrupt(dir: &DataDir, name: &str, offset: usize, detail: &str) -> Error {
-    Error::Corrupt { file: dir.file(name), offset: offset as u64, detail: detail.to_owned() }
+fn corrupt(dir: &DataDir, name: &str, offset: u64, detail: &str) -> Error {
+    Error::Corrupt { file: dir.file(name), offset, detail: detail.to_owned() }
 }
--- a/tests/control/cluster.rs
+++ b/tests/control/cluster.rs
@@ -137,6 +137,14 @@
         assert!(sent.expect("shell").success());
     }
 
+    /// The largest resident memory that the process of a host has had.
+    pub fn peak_memory_bytes(&self, i: usize) -> u64 {
+        let pid = self.hosts[i].child.as_ref().expect("running").id();
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).expect("running process");
+        let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:")).expect("peak memory");
+        line.trim().trim_end_matches(" kB").parse::<u64>().expect("number") << 10
+    }
+
     /// Waits until the process of a host exits by itself and returns its status.
     pub async fn wait_for_exit(&mut self, i: usize) -> std::process::ExitStatus {
         let mut child = self.hosts[i].child.take().expect("running");
--- a/tests/control/storage.rs
+++ b/tests/control/storage.rs
@@ -3,8 +3,10 @@
 use std::{fs, os::unix::fs::symlink, path::Path, process::Command};
 
 use gentianpass::{
+    raft::{self, Payload, Save},
     route::Table,
-    state::{Change, Reply},
+    state::{Change, Entry, Reply},
+    store::Log,
 };
 use hyper::Method;
 use uuid::Uuid;
@@ -69,6 +71,45 @@
     assert!(largest <= MAX_FOLDER_BYTES, "a data folder had {largest} bytes");
 }
 
+/// Guards against a host that needs several copies of its log in memory to start: after a kill of all hosts, none of
+/// them came back within the memory that it is given. The log is longer than the limit for a snapshot, as an earlier
+/// version may have left it.
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_with_long_log_needs_little_memory() {
+    const MAX_MEMORY_BYTES: u64 = 128 << 20;
+    const CHANGES: u64 = 220;
+    let mut cluster = Cluster::start("");
+    cluster.set_label(0, "caller", "x").await;
+    wait_until("all hosts have the same log", async || {
+        let (a, b, c) = (cluster.state(0).await?, cluster.state(1).await?, cluster.state(2).await?);
+        (a.revision == b.revision && b.revision == c.revision).then_some(())
+    })
+    .await;
+    (0..3).for_each(|i| cluster.kill(i));
+    cluster.hosts.iter().for_each(|it| append_large_changes(&it.data, CHANGES));
+    (0..3).for_each(|i| cluster.spawn(i));
+    for i in 0..3 {
+        cluster.wait_for_state(i, "the host serves reads", |it| it.revision > CHANGES).await;
+    }
+    let peaks: Vec<_> = (0..3).map(|i| cluster.peak_memory_bytes(i)).collect();
+    println!("peak memory: {peaks:?} bytes");
+    assert!(peaks.iter().all(|it| *it <= MAX_MEMORY_BYTES), "peak memory: {peaks:?} bytes");
+}
+
+/// Appends entries with large route tables to the log of a host that does not run.
+fn append_large_changes(data: &Path, count: u64) {
+    let (mut log, opened) = Log::open(data).expect("opened");
+    let last = opened.recovered.entries.last().expect("the log is not empty");
+    for version in 1..=count {
+        let change =
+            Entry { id: version.into(), base: None, at_ms: 0, change: large_table(version) };
+        let data = bincode::serialize(&change).expect("serializable");
+        let payload = Payload::Data(data.into());
+        let entry = raft::Entry { index: last.index + version, term: last.term, payload };
+        log.save(Save { hard: None, entries: vec![entry] }).expect("saved");
+    }
+}
+
 /// The size of all files in a folder. A file that is being replaced may be missed.
 fn folder_bytes(path: &Path) -> u64 {
     let files = fs::read_dir(path).expect("folder").flatten();
--- a/tests/raft/cases.rs
+++ b/tests/raft/cases.rs
@@ -88,7 +88,8 @@
 /// it, so the leader must first commit an entry of its own term.
 #[test]
 fn entry_of_earlier_term_is_not_committed_alone() {
-    let entries = vec![bootstrap_entry(membership([1, 2, 3])), entry(2, 2, Payload::Data(vec![2]))];
+    let entries =
+        vec![bootstrap_entry(membership([1, 2, 3])), entry(2, 2, Payload::Data(vec![2].into()))];
     let mut leader = core(1, 3, entries);
     let reply = |term, body| Event::Receive(Message { from: 2, to: 1, cluster: 1, term, body });
     let now = 1_000;
--- a/tests/store/main.rs
+++ b/tests/store/main.rs
@@ -52,7 +52,7 @@
 }
 
 fn entry(index: u64) -> Entry {
-    Entry { index, term: 1, payload: Payload::Data(vec![index as u8 | 1; 40]) }
+    Entry { index, term: 1, payload: Payload::Data(vec![index as u8 | 1; 40].into()) }
 }
 
 fn save(log: &mut Log, indices: std::ops::RangeInclusive<u64>) {
