relay: every crash of a target is reported, and an answer ends the suspicion

Cause: a relay reported a request only after two crashes that it had seen itself. Without a token for a second attempt each relay sees one crash, so none was reported, and nobody added them up.

Change: every crash is reported, the first after 250 ms unless another target answers the request by then; a relay that gets an answer to a suspected request withdraws the suspicion (Change::Exonerate); the fingerprint includes the service, so that crashes of different shards are not added up; up to 32 reports are submitted at once between two polls.

--- a/src/relay/builder.rs
+++ b/src/relay/builder.rs
@@ -97,6 +97,7 @@
             table: self.table.clone(),
             nodes,
             quarantine: config.quarantined_fingerprints().collect(),
+            suspects: config.suspects.iter().map(|(key, it)| (*key, it.until_ms)).collect(),
             services,
         }
     }
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -118,6 +118,7 @@
                 }
                 match state.handle_outcome(query, &target, outcome) {
                     Ok(response) => {
+                        suspect::record_answer(host, query, &service.name);
                         detach.set();
                         return Ok(response);
                     }
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use futures::future::join_all;
 use tokio::sync::Mutex;
 
 use crate::{
@@ -29,6 +30,9 @@
 /// Timeout for submitting a change to the control hosts.
 const SUBMIT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Maximum number of reports that are submitted between two polls.
+const MAX_REPORTS_AT_ONCE: usize = 32;
+
 /// Synchronises this host with the control hosts.
 pub(super) struct ControlSync {
     host: Arc<Host>,
@@ -115,15 +119,18 @@
         poller.prefer_first();
     }
 
-    /// Reports requests that crash targets to the control hosts. Reports that fail are kept for the next time.
+    /// Reports requests that crash targets to the control hosts, several at once, so that polls are delayed by one
+    /// commit only. Reports that fail are kept for the next time.
     async fn report_suspects(&self, poller: &ConfigPoller) {
-        for change in self.host.suspects.take_unreported() {
+        let reports = self.host.suspects.take_unreported(MAX_REPORTS_AT_ONCE);
+        let submitted = reports.into_iter().map(async |change| {
             let result = poller.client().submit(None, change.clone(), SUBMIT_TIMEOUT).await;
             if let Err(err) = result {
                 log::warn!("event=report_failed cause={:?}", err.to_string());
                 self.host.suspects.requeue_unreported(change);
             }
-        }
+        });
+        join_all(submitted).await;
     }
 
     fn is_registered(&self, config: &Config) -> bool {
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -16,6 +16,7 @@
     http::request::Parts,
 };
 use tokio::time::timeout_at;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     policy::canary,
@@ -99,15 +100,19 @@
         now > self.arrived + self.objective()
     }
 
-    /// Equal for requests with the same host, method, URI and body, whatever their ids.
-    pub(super) fn fingerprint(&self) -> u64 {
+    /// Identifies what a service runs for this request. Equal for requests with the same host, method, URI and body,
+    /// whatever their ids. It differs between services, so that crashes of different shards are not added up.
+    pub(super) fn fingerprint(&self, service: &str) -> u64 {
         let text = format!("{} {}", self.uri, String::from_utf8_lossy(&self.body));
-        canary::fingerprint(&self.route().config.host, self.method.as_str(), &text)
+        let request = canary::fingerprint(&self.route().config.host, self.method.as_str(), &text);
+        xxh3_64_with_seed(service.as_bytes(), request)
     }
 
+    /// Whether the request is quarantined at one of the services of its route.
     fn is_quarantined(&self) -> bool {
-        let quarantine = &self.view.quarantine;
-        !quarantine.is_empty() && quarantine.contains(&self.fingerprint())
+        let View { quarantine, .. } = &*self.view;
+        !quarantine.is_empty()
+            && self.route().config.services().any(|it| quarantine.contains(&self.fingerprint(it)))
     }
 
     /// Whether the route leads to several shards.
--- a/src/relay/suspect.rs
+++ b/src/relay/suspect.rs
@@ -1,77 +1,124 @@
-//! Detects requests that crash the targets which run them. A relay reports a request to the control hosts when two
-//! targets of one service have crashed while running it. The control hosts distribute the quarantine to all relays,
-//! which then refuse the request.
+//! Detects requests that crash the targets which run them. Relays report each crash to the control hosts, which add up
+//! the crashes that different relays have seen and distribute the quarantine to all relays. A request that a target
+//! answers after all is no longer suspected: it only ran at a target that crashed for another reason.
 
-use std::{num::NonZeroUsize, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, num::NonZeroUsize, sync::Arc, time::Duration};
 
 use lru::LruCache;
 use parking_lot::Mutex;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    net::TcpStream,
+    time::{sleep, timeout},
+};
 
 use crate::{
-    relay::{host::Host, request::Query, target::Target},
+    relay::{host::Host, request::Query, target::Target, view::View},
     state::{Change, QUARANTINE_MIN_TARGETS},
 };
 
 /// Number of requests for which a relay remembers crashes; the least recently used one is evicted.
 const MAX_TRACKED_REQUESTS: NonZeroUsize = NonZeroUsize::new(1_024).expect("not zero");
 
+/// Maximum number of reports that wait for the control hosts; further ones are dropped.
+const MAX_UNREPORTED: usize = 1_024;
+
 /// Timeout of the connection that tells whether a target has crashed. A machine whose process is gone refuses a
 /// connection within one round trip, at most some tens of milliseconds. A timeout does not count as a crash.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// The service and the name of a target that crashed.
-type Crash = (String, String);
+/// How long the first crash of a request waits for an answer of another target before it is reported. Most requests
+/// that ran at a crashed target are answered in this time and need no report.
+const FIRST_REPORT_DELAY: Duration = Duration::from_millis(250);
+
+/// What this relay knows of a request that may crash targets.
+#[derive(Default)]
+struct Record {
+    /// Names of the targets that crashed while they ran it.
+    targets: BTreeSet<String>,
+    /// Those whose crash has not been queued for a report.
+    unqueued: BTreeSet<String>,
+    /// The expiry of the suspicion that this relay last asked to withdraw, so that it does so once.
+    withdrawn_until_ms: u64,
+}
 
 /// Crashes by request fingerprint, and reports that have not reached the control hosts yet.
 pub(super) struct Suspects {
-    crashes: Mutex<LruCache<u64, Vec<Crash>>>,
+    records: Mutex<LruCache<u64, Record>>,
     unreported: Mutex<Vec<Change>>,
 }
 
 impl Default for Suspects {
     fn default() -> Self {
         Self {
-            crashes: Mutex::new(LruCache::new(MAX_TRACKED_REQUESTS)),
+            records: Mutex::new(LruCache::new(MAX_TRACKED_REQUESTS)),
             unreported: Mutex::default(),
         }
     }
 }
 
 impl Suspects {
-    /// Records a crash. Returns whether the request was queued for a report, which happens once `threshold` targets of
-    /// the service have crashed.
-    fn record_crash(
-        &self,
-        fingerprint: u64,
-        service: &str,
-        target: &str,
-        threshold: usize,
-    ) -> bool {
-        let mut crashes = self.crashes.lock();
-        let known = crashes.get_or_insert_mut(fingerprint, Vec::new);
-        let crash = (service.to_owned(), target.to_owned());
-        if known.contains(&crash) {
-            return false;
+    /// Records a crash. Returns how many targets have crashed; none if this crash is known.
+    fn record_crash(&self, fingerprint: u64, target: &str) -> Option<usize> {
+        let mut records = self.records.lock();
+        let record = records.get_or_insert_mut(fingerprint, Record::default);
+        let is_new = record.targets.insert(target.to_owned());
+        if is_new {
+            record.unqueued.insert(target.to_owned());
         }
-        known.push(crash);
-        let same_service: Vec<_> = known.iter().filter(|(it, _)| it == service).collect();
-        if same_service.len() < threshold {
+        is_new.then_some(record.targets.len())
+    }
+
+    /// Queues the crashes of a request for a report. Returns whether there were any.
+    fn queue_crashes(&self, fingerprint: u64) -> bool {
+        let targets = match self.records.lock().peek_mut(&fingerprint) {
+            Some(record) => std::mem::take(&mut record.unqueued),
+            None => return false,
+        };
+        let is_any = !targets.is_empty();
+        for target in targets {
+            self.requeue_unreported(Change::Suspect { fingerprint, target });
+        }
+        is_any
+    }
+
+    /// Records that a target answered a request. `suspected_until_ms` is the expiry of the suspicion in the
+    /// configuration, if there is one. Returns whether a report was queued.
+    fn record_answer(&self, fingerprint: u64, suspected_until_ms: Option<u64>) -> bool {
+        let mut records = self.records.lock();
+        let Some(until_ms) = suspected_until_ms else {
+            records.pop(&fingerprint);
+            return false;
+        };
+        let record = records.get_or_insert_mut(fingerprint, Record::default);
+        if record.withdrawn_until_ms == until_ms {
             return false;
         }
-        let report = |(_, target): &&Crash| Change::Suspect { fingerprint, target: target.clone() };
-        self.unreported.lock().extend(same_service.iter().map(report));
+        *record = Record { withdrawn_until_ms: until_ms, ..Record::default() };
+        drop(records);
+        self.requeue_unreported(Change::Exonerate { fingerprint });
         true
     }
 
-    /// Puts back a report that could not be submitted.
+    /// Whether no crash is remembered, so that answers need not be recorded.
+    fn is_empty(&self) -> bool {
+        self.records.lock().is_empty()
+    }
+
+    /// Queues a report, also one that could not be submitted.
     pub(super) fn requeue_unreported(&self, change: Change) {
-        self.unreported.lock().push(change);
+        let mut unreported = self.unreported.lock();
+        if unreported.len() < MAX_UNREPORTED {
+            unreported.push(change);
+        } else {
+            log::warn!("event=report_dropped cause=\"too many reports wait\"");
+        }
     }
 
-    /// Takes all reports that have not been submitted.
-    pub(super) fn take_unreported(&self) -> Vec<Change> {
-        std::mem::take(&mut *self.unreported.lock())
+    /// Takes the oldest reports that have not been submitted, at most `count`.
+    pub(super) fn take_unreported(&self, count: usize) -> Vec<Change> {
+        let mut unreported = self.unreported.lock();
+        let count = count.min(unreported.len());
+        unreported.drain(..count).collect()
     }
 }
 
@@ -90,18 +137,34 @@
         if !matches!(connect, Ok(Err(_))) {
             return;
         }
-        // A request that is sent to one target only cannot crash two of them from here. Its first crash is reported,
-        // and the control hosts count the crashes that all relays report.
-        let threshold = QUARANTINE_MIN_TARGETS.min(query.max_attempts());
-        let fingerprint = query.fingerprint();
-        let reported = host.suspects.record_crash(fingerprint, &service, &target.name, threshold);
+        let fingerprint = query.fingerprint(&service);
+        let Some(crashes) = host.suspects.record_crash(fingerprint, &target.name) else { return };
         log::info!(
-            "event=target_crashed request={} fingerprint={fingerprint:016x} service={service} target={} reported={reported}",
+            "event=target_crashed request={} fingerprint={fingerprint:016x} service={service} target={} crashes={crashes}",
             query.id(),
             target.name
         );
-        if reported {
+        if crashes < QUARANTINE_MIN_TARGETS {
+            sleep(FIRST_REPORT_DELAY).await;
+        }
+        if host.suspects.queue_crashes(fingerprint) {
             host.poll_now.notify_one();
         }
     });
 }
+
+/// Records that a target of the service answered a request, which therefore does not crash targets.
+pub(super) fn record_answer(host: &Host, query: &Query, service: &str) {
+    let View { suspects, .. } = &*host.view();
+    if suspects.is_empty() && host.suspects.is_empty() {
+        return;
+    }
+    let fingerprint = query.fingerprint(service);
+    if host.suspects.record_answer(fingerprint, suspects.get(&fingerprint).copied()) {
+        log::info!(
+            "event=suspicion_withdrawn request={} fingerprint={fingerprint:016x} service={service}",
+            query.id()
+        );
+        host.poll_now.notify_one();
+    }
+}
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -1,7 +1,12 @@
 //! The routing data of one revision of the configuration. Views share targets, budgets and latency estimates, whose
 //! state changes while a view is in use.
 
-use std::{cmp::Reverse, collections::HashSet, sync::Arc, time::Instant};
+use std::{
+    cmp::Reverse,
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Instant,
+};
 
 use parking_lot::Mutex;
 
@@ -79,6 +84,8 @@
     pub(super) nodes: Vec<Node>,
     /// Fingerprints of requests that crash targets and are refused.
     pub(super) quarantine: HashSet<u64>,
+    /// When the record of each request that may crash targets expires, by fingerprint. Includes the quarantined ones.
+    pub(super) suspects: HashMap<u64, u64>,
     pub(super) services: Vec<Service>,
 }
 
--- a/src/state/change.rs
+++ b/src/state/change.rs
@@ -86,6 +86,11 @@
     Tick,
     /// Changes part of the route table. Sent to entry hosts in place of `PutRoutes`; never part of the log.
     PatchRoutes(Box<route::Patch>),
+    /// Withdraws a suspicion: a target has answered the request.
+    Exonerate {
+        /// Fingerprint of the request.
+        fingerprint: u64,
+    },
 }
 
 impl Change {
--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -219,6 +219,7 @@
                 Ok(removed)
             }
             Change::Suspect { fingerprint, target } => Ok(self.record_crash(*fingerprint, target)),
+            Change::Exonerate { fingerprint } => Ok(self.suspects.remove(fingerprint).is_some()),
             Change::Tick => Ok(self.expire_suspects()),
             Change::Claim(_) | Change::Settle { .. } => Ok(false),
         }
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -349,6 +349,16 @@
         started
     }
 
+    /// Starts a second relay like [`Self::start_second_relay`], with modified settings, and sends requests to it.
+    pub async fn start_beside(&self, change: impl FnOnce(&mut Settings)) -> Self {
+        let (control, control_addr) = (self.control.clone(), self.control_addr);
+        let (addr, relay) = start_relay("relay-2", "beside", control_addr, change).await;
+        let beside = Self { addr, control, control_addr, relay };
+        beside.wait_until(|| beside.relay.is_ready()).await;
+        beside.wait_until(|| std::net::TcpStream::connect(addr).is_ok()).await;
+        beside
+    }
+
     /// Announces a target of a service.
     pub fn announce(&self, name: &str, service: &str, zone: &str, addr: SocketAddr) {
         self.control.apply(Change::PutTarget(target(name, service, zone, addr)));
