control: a leave takes effect also at a host that lags behind

Cause: Registry::leave looked for the target before its read barrier. A control host that has just lost its disk knows no target, so it acknowledged the leave without a commit; for the same reason it could commit an announcement from before a leave, which put the target back into service.

Change: the read barrier comes first in leave, and in announcements that change something; the state machine keeps a target that is leaving so until another process has its name.

That this is the cause on the users' machines is not shown.

--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -81,7 +81,8 @@
     }
 
     /// Processes an announcement. `call` increases with each announcement of a process; older ones are ignored. Returns
-    /// after the commit if the announcement changes the target.
+    /// after the commit if the announcement changes the target. What it changes is determined after a read barrier: this
+    /// host may lag behind or have just lost its disk.
     pub async fn announce(&self, target: Target, call: u64) -> Result<()> {
         if !self.record_if_latest(&target, call) {
             log::info!(
@@ -91,36 +92,48 @@
             );
             return Ok(());
         }
+        if self.renew_if_unchanged(&target) {
+            return Ok(());
+        }
+        self.host.read_barrier(Vec::new()).await?;
+        if self.renew_if_unchanged(&target) || !self.claim_address(&target).await? {
+            return Ok(());
+        }
+        self.put_target(target).await
+    }
+
+    /// Whether an announcement changes nothing: the target is known as announced, is leaving already, or a later process
+    /// has its name. If it is from the known process, it counts as a heartbeat.
+    fn renew_if_unchanged(&self, target: &Target) -> bool {
         let known = self.host.with_tables(|it| it.config.targets.get(&target.name).cloned());
-        let target = match known {
-            Some(known) if known.incarnation > target.incarnation => return Ok(()),
-            Some(known) if known.incarnation == target.incarnation => {
-                // A process that has announced its leave never serves again, even if a delayed announcement says so.
-                let phase = if known.phase == Phase::Leaving { known.phase } else { target.phase };
-                let target = Target { phase, ..target };
-                if target == known {
-                    self.pending_renewals.lock().push(process(&target));
-                    return Ok(());
-                }
-                target
+        let Some(known) = known else { return false };
+        if known.incarnation > target.incarnation {
+            return true;
+        }
+        // A process that has announced its leave never serves again, even if a delayed announcement says so.
+        let announced = match known.phase {
+            Phase::Leaving if known.incarnation == target.incarnation => {
+                &Target { phase: Phase::Leaving, ..target.clone() }
             }
             _ => target,
         };
-        if !self.claim_address(&target).await? {
-            return Ok(());
+        let unchanged = *announced == known;
+        if unchanged {
+            self.pending_renewals.lock().push(process(target));
         }
-        self.put_target(target).await
+        unchanged
     }
 
-    /// Marks a target as leaving. If this host does not know the target, which may never have announced itself, or if
-    /// it is already leaving, nothing is committed; then only a read barrier must succeed.
+    /// Marks a target as leaving. A target that has never announced itself, or is already leaving, needs no commit. The
+    /// read barrier comes first: a host that lags behind, or has just lost its disk, may not know the target yet.
     pub async fn leave(&self, name: &str) -> Result<()> {
+        self.host.read_barrier(Vec::new()).await?;
         let known = self.host.with_tables(|it| it.config.targets.get(name).cloned());
         match known {
             Some(known) if known.phase == Phase::Serving => {
                 self.put_target(Target { phase: Phase::Leaving, ..known }).await
             }
-            _ => self.host.read_barrier(Vec::new()).await,
+            _ => Ok(()),
         }
     }
 
--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -326,9 +326,16 @@
             let key = (holding.index.clone(), holding.version);
             self.versions.entry(key).or_insert(Version { shards: holding.shards });
         }
+        let mut target = target.clone();
+        if let Some(old) = self.targets.get(&target.name)
+            && (old.incarnation, old.phase) == (target.incarnation, Phase::Leaving)
+        {
+            // An announcement from before the leave may be committed after it, through another control host.
+            target.phase = Phase::Leaving;
+        }
         let old = self.targets.insert(target.name.clone(), target.clone());
         self.remove_superseded_versions();
-        Ok(old.as_ref() != Some(target))
+        Ok(old.as_ref() != Some(&target))
     }
 
     /// Checks that each shard number is less than the number of shards, and that the latter agrees with the known
--- a/tests/state/config.rs
+++ b/tests/state/config.rs
@@ -1,6 +1,6 @@
 use gentianpass::{
     error::Kind,
-    state::{Change, QUARANTINE_MS, Reply},
+    state::{Change, Phase, QUARANTINE_MS, Reply, Target},
 };
 
 use crate::{Fixture, group, selector, set_label, target};
@@ -50,6 +50,21 @@
     assert!(fixture.tables.config.targets.contains_key("a"));
 }
 
+/// Guards against a target that serves again after it has announced its leave: an announcement from before the leave is
+/// committed after it, through a control host that did not know of the leave.
+#[test]
+fn put_target_after_leave() {
+    let mut fixture = Fixture::default();
+    fixture.accept(Change::PutTarget(target("a", "z", 1, 0, 1)));
+    let leaving = Target { phase: Phase::Leaving, ..target("a", "z", 1, 0, 1) };
+    fixture.accept(Change::PutTarget(leaving));
+    let late = Target { slots: 9, ..target("a", "z", 1, 0, 1) };
+    fixture.accept(Change::PutTarget(late));
+    assert_eq!(fixture.tables.config.targets["a"].phase, Phase::Leaving);
+    fixture.accept(Change::PutTarget(Target { incarnation: 2, ..target("a", "z", 1, 0, 1) }));
+    assert_eq!(fixture.tables.config.targets["a"].phase, Phase::Serving, "a new process");
+}
+
 /// Guards against selectors that refer to a removed group.
 #[test]
 fn remove_group_in_use() {
