state: a route table is replaced under its own version only by itself

One that differed only in fields which the product does not use was acknowledged and not stored.

Cause: put_routes compared contents only if the table in force had routes, and never documents.

Change: version 0 stands for no table; the whole table is compared.

--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -267,16 +267,14 @@
     }
 
     /// Replaces the route table. The table with the highest version is in force: an older one is ignored, and the
-    /// version in force is accepted again only if its routes, services and limits are the same. The documents are not
-    /// compared, because entry hosts do not have them.
+    /// version in force is accepted again only if the table is the same. Version 0 stands for no table.
     fn put_routes(&mut self, table: &route::Table) -> Result<bool, Error> {
         let current = self.routes.version;
         if table.version < current {
             return Ok(false);
         }
-        if table.version == current && !self.routes.routes.is_empty() {
-            let same = (&table.routes, &table.services, &table.limits)
-                == (&self.routes.routes, &self.routes.services, &self.routes.limits);
+        if table.version == current && current > 0 {
+            let same = *table == self.routes;
             let message = format!("a different route table with version {current} is in force");
             return if same { Ok(false) } else { Err(Error::new(Kind::Conflict, message)) };
         }
--- a/tests/state/config.rs
+++ b/tests/state/config.rs
@@ -1,5 +1,6 @@
 use gentianpass::{
     error::Kind,
+    route::{Limits, Table},
     state::{Change, Phase, QUARANTINE_MS, Reply, Target},
 };
 
@@ -65,6 +66,25 @@
     assert_eq!(fixture.tables.config.targets["a"].phase, Phase::Serving, "a new process");
 }
 
+/// Guards against two contents of one version that are both acknowledged: a table without routes was replaced by another
+/// one with the same version, and one whose document differed in fields that are not used was accepted but not stored.
+#[test]
+fn put_routes_same_version() {
+    let mut fixture = Fixture::default();
+    let table = |version: u64, document: &str, header_ms: u64| {
+        let limits = Limits { header_ms, ..Limits::default() };
+        let document = document.to_owned();
+        Change::PutRoutes(Box::new(Table { version, document, limits, ..Table::default() }))
+    };
+    fixture.accept(table(8, "first", 3_000));
+    fixture.accept(table(8, "first", 3_000));
+    for other in [table(8, "second", 3_000), table(8, "first", 4_000)] {
+        let reply = fixture.apply(other);
+        assert!(matches!(reply, Reply::Rejected(err) if err.kind == Kind::Conflict));
+    }
+    assert_eq!(fixture.tables.config.routes.document, "first");
+}
+
 /// Guards against selectors that refer to a removed group.
 #[test]
 fn remove_group_in_use() {
