tests/control: a stopped host has stopped when the signal returns

Cause: kill returns before the threads of the process have stopped. The test asserts what it did.

The checks are unchanged.

--- a/tests/control/cluster.rs
+++ b/tests/control/cluster.rs
@@ -22,6 +22,7 @@
 use http_body_util::{BodyExt, Collected, Full};
 use hyper::{Method, Request, body::Bytes};
 use hyper_util::{client::legacy, rt::TokioExecutor};
+use rustix::process::{Pid, WaitId, WaitIdOptions, waitid};
 use serde_json::Value;
 use tempfile::TempDir;
 use uuid::Uuid;
@@ -130,11 +131,18 @@
         }
     }
 
-    /// Sends a signal, such as `STOP`, to the process of a host.
+    /// Sends a signal, such as `STOP`, to the process of a host. After `STOP` it waits until all threads have stopped:
+    /// they run on until the thread that takes the signal is scheduled, and may still confirm a poll.
     pub fn signal(&self, i: usize, signal: &str) {
-        let pid = self.hosts[i].child.as_ref().expect("running").id();
-        let sent = Command::new("sh").args(["-c", &format!("kill -{signal} {pid}")]).status();
+        let child = self.hosts[i].child.as_ref().expect("running");
+        let sent =
+            Command::new("sh").args(["-c", &format!("kill -{signal} {}", child.id())]).status();
         assert!(sent.expect("shell").success());
+        if signal == "STOP" {
+            let stopped_or_ended = WaitIdOptions::STOPPED | WaitIdOptions::EXITED;
+            let pid = WaitId::Pid(Pid::from_child(child));
+            waitid(pid, stopped_or_ended | WaitIdOptions::NOWAIT).expect("stopped");
+        }
     }
 
     /// The largest resident memory that the process of a host has had.
