relay: requests that run at the end of a planned stop get an answer

Change: at 92% running requests get their final answer, and the process exits when these are sent, at 96% at the latest. A leaving relay gives no request more time than that, and rejects one that may run only once if its objective lies beyond.

--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -2,10 +2,10 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use hyper::HeaderMap;
@@ -69,6 +69,10 @@
     /// Whether a routing table has been received.
     has_routes: watch::Sender<bool>,
     leaving: AtomicBool,
+    /// When requests that are still running get their final answer; set once this host is leaving.
+    answer_by: OnceLock<Instant>,
+    /// Whether that time has come.
+    out_of_time: watch::Sender<bool>,
     /// Number of requests that are being processed.
     pub(super) running: AtomicUsize,
     /// Number of open connections of callers on which at least one byte has arrived.
@@ -94,6 +98,8 @@
             view: RwLock::default(),
             has_routes: watch::Sender::new(false),
             leaving: AtomicBool::new(false),
+            answer_by: OnceLock::new(),
+            out_of_time: watch::Sender::new(false),
             running: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
             cfg,
@@ -150,10 +156,28 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
-    pub(super) fn start_leaving(&self) {
+    /// Marks this host as leaving. All requests are answered by `answer_by`, when the process is about to exit.
+    pub(super) fn start_leaving(&self, answer_by: Instant) {
+        let _ = self.answer_by.set(answer_by);
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// When requests get their final answer because the process is about to exit; none while it is not leaving.
+    pub(super) fn answer_by(&self) -> Option<Instant> {
+        self.answer_by.get().copied()
+    }
+
+    /// Lets all requests that are still running give their final answer.
+    pub(super) fn end_requests(&self) {
+        self.out_of_time.send_replace(true);
+    }
+
+    /// Completes when running requests must give their final answer.
+    pub(super) async fn out_of_time(&self) {
+        // The sender lives as long as the host, so the wait ends only when the time has come.
+        let _ = self.out_of_time.subscribe().wait_for(|it| *it).await;
+    }
+
     /// Counts a request as running until the guard is dropped.
     pub(super) fn track_request(&self) -> CountGuard<'_> {
         CountGuard::new(&self.running)
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -210,6 +210,8 @@
         let limit = Duration::from_millis(route.timeout_ms);
         let requested = headers.get(&names.deadline).and_then(|it| it.to_str().ok()?.parse().ok());
         let left = requested.map_or(limit, |it| Duration::from_millis(it).min(limit));
+        // Targets must not work on a response that this process can no longer pass on.
+        let left = host.answer_by().map_or(left, |it| left.min(it.duration_since(arrived)));
         let objective = Duration::from_millis(route.objective_ms).min(left);
         let overhead = match connection {
             CallerConnection::New => CALLER_OVERHEAD + CONNECT_OVERHEAD,
@@ -259,12 +261,29 @@
         host.metrics.record_answer(&query, "quarantined");
         return response::refuse(host, &query, &Refusal::new(false, false, "quarantined"));
     }
+    let repeatable = query.route().config.kind == Kind::Idempotent;
+    if !repeatable && host.answer_by().is_some_and(|it| it < query.arrived + query.objective()) {
+        // It could end here without a known outcome, and be repeated nowhere. Another host has more time for it.
+        host.metrics.record_answer(&query, "refused");
+        return response::refuse(host, &query, &Refusal::new(false, false, "leaving"));
+    }
+    tokio::select! {
+        biased;
+        response = dispatch(host, &query) => response,
+        () = host.out_of_time() => {
+            host.metrics.record_answer(&query, "refused");
+            response::refuse(host, &query, &Refusal::new(true, true, "leaving"))
+        }
+    }
+}
+
+async fn dispatch(host: &Arc<Host>, query: &Arc<Query>) -> Response<Full<Bytes>> {
     match &query.route().config.to {
-        To::Shards(shards) => gather::run(host, &query, shards).await,
-        To::Service(_) => handle_single(host, &query, query.route().services[0]).await,
+        To::Shards(shards) => gather::run(host, query, shards).await,
+        To::Service(_) => handle_single(host, query, query.route().services[0]).await,
         To::Split(parts) => {
             let route = query.route();
-            handle_single(host, &query, route.services[route.split_picker.pick(parts)]).await
+            handle_single(host, query, route.services[route.split_picker.pick(parts)]).await
         }
     }
 }
--- a/src/relay/stop.rs
+++ b/src/relay/stop.rs
@@ -22,9 +22,12 @@
 /// How long the process waits for the first request on connections that were accepted last.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(300);
 
-/// The point in the grace period at which the process exits even if requests are running, in percent. It exits before
-/// it is killed.
-const EXIT_PERCENT: u32 = 92;
+/// The point in the grace period at which requests that are still running get their final answer, in percent.
+const ANSWER_PERCENT: u32 = 92;
+
+/// The point in the grace period at which the process exits even if answers are still being sent, in percent. It exits
+/// before it is killed.
+const EXIT_PERCENT: u32 = 96;
 
 /// How often running requests are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -34,13 +37,16 @@
 pub(super) async fn run(host: &Arc<Host>) {
     let start = Instant::now();
     let grace = host.cfg.grace_period;
-    host.start_leaving();
+    host.start_leaving(start + grace * ANSWER_PERCENT / 100);
     host.poll_now.notify_one();
     host.events.record(Event::new(Kind::Stopping, "signal"));
     sleep(host.cfg.address_ttl.min(grace * CLOSE_PERCENT / 100)).await;
     let accept_until = start + grace * ACCEPT_PERCENT / 100;
     let end = start + grace * EXIT_PERCENT / 100;
     while Instant::now() < end {
+        if host.answer_by().is_some_and(|it| it <= Instant::now()) {
+            host.end_requests();
+        }
         host.close_connections.notify_waiters();
         if Instant::now() >= accept_until {
             host.stop_accepting.notify_one();
@@ -54,7 +60,7 @@
     }
     let running = host.running.load(Ordering::Relaxed);
     let cause = format!(
-        "stopped after {} ms, aborting {running} requests in flight",
+        "stopped after {} ms with {running} requests unanswered",
         start.elapsed().as_millis()
     );
     host.events.record(Event::new(Kind::Stopping, cause));
