relay: targets that say they are leaving, or busy for some time, get no requests

Change: after such an answer the relay sends the process nothing more, whatever the configuration says later, and reports it to the control hosts (Change::RetireTarget), so that all relays stop. A pause is kept to; requests wait for its end if that comes in time, else they are rejected at once with the time after which it is worth to come back. Reports to the control hosts have a queue of their own now (relay::report).

--- a/src/control/poller.rs
+++ b/src/control/poller.rs
@@ -167,6 +167,7 @@
         Change::PutTarget(it) => format!("put target {} ({})", it.name, it.phase),
         Change::RemoveTarget { name, .. } => format!("removed target {name}"),
         Change::Suspect { fingerprint, target } => format!("{fingerprint:016x} crashed {target}"),
+        Change::RetireTarget { name, .. } => format!("target {name} is leaving"),
         Change::Exonerate { fingerprint } => format!("{fingerprint:016x} was answered"),
         Change::Tick => "expired suspect requests".into(),
         Change::Claim(_) | Change::Settle { .. } => "changed claims".into(),
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -306,7 +306,10 @@
     let median = query.route().latency.lock().median();
     let mut rng = rand::rng();
     let usable = service.targets.iter().filter(|it| {
-        it.is_usable() && (homes.is_empty() || homes.contains(&it.region)) && eligible(it)
+        it.is_usable()
+            && it.paused_until(now).is_none()
+            && (homes.is_empty() || homes.contains(&it.region))
+            && eligible(it)
     });
     let costs = usable.filter_map(|it| {
         let stats = it.stats.lock();
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -13,7 +13,7 @@
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::Incoming,
-    header::{CONNECTION, HeaderName, HeaderValue},
+    header::{CONNECTION, HeaderName, HeaderValue, RETRY_AFTER},
     http::response,
 };
 use parking_lot::Mutex;
@@ -37,8 +37,12 @@
         wait::{self, WaitQueue},
     },
     route,
+    state::Change,
 };
 
+/// Longest pause that a target is granted, so that a faulty value does not take it out of service for good.
+const MAX_PAUSE: Duration = Duration::from_secs(3_600);
+
 /// A connection is silent if no response header arrived for this many times the route's late threshold, and for at
 /// least the minimum. The target is then avoided and its connections are not reused, but the exchange keeps waiting.
 const SILENCE_FACTOR: u32 = 4;
@@ -296,6 +300,7 @@
         );
         return Outcome::Unknown(UnknownReason::BadAnswer);
     }
+    record_wishes(host, target, &head);
     let outcome = classify(names, head, body);
     if has_id && query.body.is_empty() && is_reusable(query, &outcome) {
         target.pool.put_idle(conn, keep_alive);
@@ -303,6 +308,36 @@
     outcome
 }
 
+/// Heeds what a target says of itself in a response: that it is leaving, or that it wants no requests for some time.
+fn record_wishes(host: &Host, target: &Target, head: &response::Parts) {
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        // The response is from another process.
+        return;
+    }
+    if head.headers.get(&host.cfg.headers.leaving).is_some_and(|it| it == "1") && target.retire() {
+        log::info!(
+            "event=target_leaving target={} incarnation={}",
+            target.name,
+            target.incarnation
+        );
+        let (name, incarnation) = (target.name.clone(), target.incarnation);
+        host.reports.push(Change::RetireTarget { name, incarnation });
+        host.poll_now.notify_one();
+    }
+    if head.status == StatusCode::SERVICE_UNAVAILABLE
+        && let Some(pause) = retry_after(&head.headers)
+    {
+        log::info!("event=target_paused target={} pause_ms={}", target.name, pause.as_millis());
+        target.pause(Instant::now() + pause);
+    }
+}
+
+/// The time in `Retry-After`, if it is given in seconds.
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+    Some(Duration::try_from_secs_f64(seconds).ok()?.min(MAX_PAUSE))
+}
+
 /// Whether the connection of an exchange with this outcome may carry another request. The next request of an
 /// at-most-once call has the id of the refused one, so a late copy of the refusal would claim that it did not run.
 fn is_reusable(query: &Query, outcome: &Outcome) -> bool {
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -1,5 +1,4 @@
-//! Follows the configuration of the control hosts, registers this host with them and reports requests that crash
-//! targets.
+//! Follows the configuration of the control hosts, registers this host with them and submits its reports.
 
 use std::{
     sync::Arc,
@@ -66,7 +65,7 @@
                 self.refresh_members(&mut poller).await;
             }
             if reachable {
-                self.report_suspects(&poller).await;
+                self.submit_reports(&poller).await;
             }
             if reachable
                 && !self.is_registered(&config)
@@ -119,15 +118,15 @@
         poller.prefer_first();
     }
 
-    /// Reports requests that crash targets to the control hosts, several at once, so that polls are delayed by one
-    /// commit only. Reports that fail are kept for the next time.
-    async fn report_suspects(&self, poller: &ConfigPoller) {
-        let reports = self.host.suspects.take_unreported(MAX_REPORTS_AT_ONCE);
+    /// Submits reports to the control hosts, several at once, so that polls are delayed by one commit only. Reports that
+    /// fail are kept for the next time.
+    async fn submit_reports(&self, poller: &ConfigPoller) {
+        let reports = self.host.reports.take(MAX_REPORTS_AT_ONCE);
         let submitted = reports.into_iter().map(async |change| {
             let result = poller.client().submit(None, change.clone(), SUBMIT_TIMEOUT).await;
             if let Err(err) = result {
                 log::warn!("event=report_failed cause={:?}", err.to_string());
-                self.host.suspects.requeue_unreported(change);
+                self.host.reports.push(change);
             }
         });
         join_all(submitted).await;
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -19,8 +19,8 @@
     event::{Event, Kind, Ring, unix_ms},
     metric,
     relay::{
-        buffer::Buffers, builder::Builder, metrics::Metrics, peer::Peers, settings::Settings,
-        suspect::Suspects, view::View,
+        buffer::Buffers, builder::Builder, metrics::Metrics, peer::Peers, report,
+        settings::Settings, suspect::Suspects, view::View,
     },
     state::{Config, Node},
 };
@@ -63,6 +63,8 @@
     pub(super) buffers: Buffers,
     /// Requests that crashed targets.
     pub(super) suspects: Suspects,
+    /// Reports for the control hosts.
+    pub(super) reports: report::Queue,
     registry: metric::Registry,
     builder: Mutex<Builder>,
     view: RwLock<Arc<View>>,
@@ -93,6 +95,7 @@
             peers: Peers::default(),
             buffers: Buffers::default(),
             suspects: Suspects::default(),
+            reports: report::Queue::default(),
             registry,
             builder: Mutex::new(Builder::new(cfg.clone())),
             view: RwLock::default(),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -25,6 +25,7 @@
 mod peer;
 mod pool;
 mod records;
+mod report;
 mod request;
 mod response;
 mod run;
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -95,6 +95,13 @@
         Duration::from_millis(route.objective_ms.min(route.timeout_ms))
     }
 
+    /// How long a service of the route has no target because all are paused.
+    pub(super) fn paused_for(&self, now: Instant) -> Duration {
+        let services = self.route().services.iter().map(|it| self.view.service(*it));
+        let ends = services.filter_map(|it| it.paused_until(now));
+        ends.max().map_or(Duration::ZERO, |it| it.saturating_duration_since(now))
+    }
+
     /// Whether a response sent now would miss the objective.
     pub(super) fn is_past_objective(&self, now: Instant) -> bool {
         now > self.arrived + self.objective()
--- a/src/relay/response.rs
+++ b/src/relay/response.rs
@@ -1,6 +1,6 @@
 //! Responses to callers.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -68,7 +68,9 @@
         query.view.table.version,
         query.view.revision,
     );
-    let wait = query.objective() / RETRY_AFTER_DIVISOR;
+    // A caller that comes back before a service has a target again would be refused once more.
+    let paused = query.paused_for(Instant::now());
+    let wait = paused.max(query.objective() / RETRY_AFTER_DIVISOR);
     let mut response = text(refusal.status, refusal.cause, wait);
     set_request_id(host, query, response.headers_mut());
     response
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -21,6 +21,8 @@
     pub missing_shards: HeaderName,
     /// Set by a target that did not run the request.
     pub not_run: HeaderName,
+    /// Set by a target that is leaving, in all its responses.
+    pub leaving: HeaderName,
 }
 
 /// Settings of a relay.
--- a/src/relay/suspect.rs
+++ b/src/relay/suspect.rs
@@ -19,9 +19,6 @@
 /// Number of requests for which a relay remembers crashes; the least recently used one is evicted.
 const MAX_TRACKED_REQUESTS: NonZeroUsize = NonZeroUsize::new(1_024).expect("not zero");
 
-/// Maximum number of reports that wait for the control hosts; further ones are dropped.
-const MAX_UNREPORTED: usize = 1_024;
-
 /// Timeout of the connection that tells whether a target has crashed. A machine whose process is gone refuses a
 /// connection within one round trip, at most some tens of milliseconds. A timeout does not count as a crash.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -41,18 +38,14 @@
     withdrawn_until_ms: u64,
 }
 
-/// Crashes by request fingerprint, and reports that have not reached the control hosts yet.
+/// Crashes by request fingerprint.
 pub(super) struct Suspects {
     records: Mutex<LruCache<u64, Record>>,
-    unreported: Mutex<Vec<Change>>,
 }
 
 impl Default for Suspects {
     fn default() -> Self {
-        Self {
-            records: Mutex::new(LruCache::new(MAX_TRACKED_REQUESTS)),
-            unreported: Mutex::default(),
-        }
+        Self { records: Mutex::new(LruCache::new(MAX_TRACKED_REQUESTS)) }
     }
 }
 
@@ -68,21 +61,15 @@
         is_new.then_some(record.targets.len())
     }
 
-    /// Queues the crashes of a request for a report. Returns whether there were any.
-    fn queue_crashes(&self, fingerprint: u64) -> bool {
-        let targets = match self.records.lock().peek_mut(&fingerprint) {
-            Some(record) => std::mem::take(&mut record.unqueued),
-            None => return false,
-        };
-        let is_any = !targets.is_empty();
-        for target in targets {
-            self.requeue_unreported(Change::Suspect { fingerprint, target });
-        }
-        is_any
+    /// Takes the crashes of a request that have not been queued for a report.
+    fn take_unqueued(&self, fingerprint: u64) -> BTreeSet<String> {
+        let mut records = self.records.lock();
+        let record = records.peek_mut(&fingerprint);
+        record.map(|it| std::mem::take(&mut it.unqueued)).unwrap_or_default()
     }
 
     /// Records that a target answered a request. `suspected_until_ms` is the expiry of the suspicion in the
-    /// configuration, if there is one. Returns whether a report was queued.
+    /// configuration, if there is one. Returns whether this relay has to withdraw it.
     fn record_answer(&self, fingerprint: u64, suspected_until_ms: Option<u64>) -> bool {
         let mut records = self.records.lock();
         let Some(until_ms) = suspected_until_ms else {
@@ -94,8 +81,6 @@
             return false;
         }
         *record = Record { withdrawn_until_ms: until_ms, ..Record::default() };
-        drop(records);
-        self.requeue_unreported(Change::Exonerate { fingerprint });
         true
     }
 
@@ -103,23 +88,6 @@
     fn is_empty(&self) -> bool {
         self.records.lock().is_empty()
     }
-
-    /// Queues a report, also one that could not be submitted.
-    pub(super) fn requeue_unreported(&self, change: Change) {
-        let mut unreported = self.unreported.lock();
-        if unreported.len() < MAX_UNREPORTED {
-            unreported.push(change);
-        } else {
-            log::warn!("event=report_dropped cause=\"too many reports wait\"");
-        }
-    }
-
-    /// Takes the oldest reports that have not been submitted, at most `count`.
-    pub(super) fn take_unreported(&self, count: usize) -> Vec<Change> {
-        let mut unreported = self.unreported.lock();
-        let count = count.min(unreported.len());
-        unreported.drain(..count).collect()
-    }
 }
 
 /// Checks in the background whether a target crashed, after its connection broke while it ran a request. It counts as
@@ -147,9 +115,14 @@
         if crashes < QUARANTINE_MIN_TARGETS {
             sleep(FIRST_REPORT_DELAY).await;
         }
-        if host.suspects.queue_crashes(fingerprint) {
-            host.poll_now.notify_one();
+        let crashed = host.suspects.take_unqueued(fingerprint);
+        if crashed.is_empty() {
+            return;
+        }
+        for target in crashed {
+            host.reports.push(Change::Suspect { fingerprint, target });
         }
+        host.poll_now.notify_one();
     });
 }
 
@@ -165,6 +138,7 @@
             "event=suspicion_withdrawn request={} fingerprint={fingerprint:016x} service={service}",
             query.id()
         );
+        host.reports.push(Change::Exonerate { fingerprint });
         host.poll_now.notify_one();
     }
 }
--- a/src/relay/target.rs
+++ b/src/relay/target.rs
@@ -19,6 +19,7 @@
 /// The process of a target, with its connections, statistics and limits.
 pub(super) struct Target {
     pub(super) name: String,
+    pub(super) incarnation: u64,
     pub(super) zone: String,
     pub(super) region: String,
     /// Whether the target is in this host's region.
@@ -28,6 +29,10 @@
     pub(super) stats: Mutex<TargetStats>,
     pub(super) cold_start: Mutex<ColdStartLimiter>,
     usable: AtomicBool,
+    /// Whether the target has said that it is leaving.
+    retired: AtomicBool,
+    /// Until when the target wants no requests from this host.
+    paused_until: Mutex<Option<Instant>>,
 }
 
 impl Target {
@@ -36,6 +41,7 @@
         let round_trip = if is_near { OWN_REGION_ROUND_TRIP } else { OTHER_REGION_ROUND_TRIP };
         Self {
             name: target.name.clone(),
+            incarnation: target.incarnation,
             zone: target.zone.clone(),
             region: region.to_owned(),
             is_near,
@@ -44,12 +50,40 @@
             stats: Mutex::new(TargetStats::new(Instant::now())),
             cold_start: Mutex::default(),
             usable: AtomicBool::new(false),
+            retired: AtomicBool::new(false),
+            paused_until: Mutex::default(),
         }
     }
 
-    /// Whether the target may get new sub-requests.
+    /// Whether the target may get new sub-requests, at the latest when its pause is over.
     pub(super) fn is_usable(&self) -> bool {
-        self.usable.load(Ordering::Relaxed)
+        self.usable.load(Ordering::Relaxed) && !self.is_retired()
+    }
+
+    /// Whether the target has said that it is leaving.
+    pub(super) fn is_retired(&self) -> bool {
+        self.retired.load(Ordering::Relaxed)
+    }
+
+    /// Records that the target is leaving, for as long as its process exists: whatever the configuration says, it gets no
+    /// new sub-requests. Returns whether this is news.
+    pub(super) fn retire(&self) -> bool {
+        let is_new = !self.retired.swap(true, Ordering::Relaxed);
+        if is_new {
+            self.pool.invalidate();
+        }
+        is_new
+    }
+
+    /// Sends nothing to the target until then. A pause is never shortened.
+    pub(super) fn pause(&self, until: Instant) {
+        let mut paused_until = self.paused_until.lock();
+        *paused_until = (*paused_until).max(Some(until));
+    }
+
+    /// When the target's pause is over; none if it is not paused.
+    pub(super) fn paused_until(&self, now: Instant) -> Option<Instant> {
+        self.paused_until.lock().filter(|it| *it > now)
     }
 
     /// Allows or forbids new sub-requests. Forbidding them also closes idle connections, and those in use once
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -52,6 +52,13 @@
         self.targets.iter().all(|it| it.stats.lock().is_down(now))
     }
 
+    /// When the first pause ends, if all usable targets are paused.
+    pub(super) fn paused_until(&self, now: Instant) -> Option<Instant> {
+        let usable = self.targets.iter().filter(|it| it.is_usable());
+        let ends: Option<Vec<_>> = usable.map(|it| it.paused_until(now)).collect();
+        ends?.into_iter().min()
+    }
+
     /// Whether the service has a target in this zone.
     pub(super) fn has_targets_in(&self, zone: &str) -> bool {
         self.targets.iter().any(|it| it.zone == zone)
--- a/src/relay/wait.rs
+++ b/src/relay/wait.rs
@@ -86,6 +86,9 @@
         if !service.targets.iter().any(|it| it.is_usable()) {
             return Err("no_target");
         }
+        if service.paused_until(now).is_some_and(|it| it >= bounds.hard) {
+            return Err("targets_paused");
+        }
         // Shards that the response needs wait even so: rejecting one would waste the work of those that have responded.
         let may_reject = is_spare || !query.has_shards();
         if may_reject && service.queue.lock().is_hopeless(&ticket, now) {
--- a/src/state/change.rs
+++ b/src/state/change.rs
@@ -86,6 +86,13 @@
     Tick,
     /// Changes part of the route table. Sent to entry hosts in place of `PutRoutes`; never part of the log.
     PatchRoutes(Box<route::Patch>),
+    /// Records that a target has said in a response that it is leaving.
+    RetireTarget {
+        /// Name of the target.
+        name: String,
+        /// The process that is leaving. The change has no effect if another process is registered under this name.
+        incarnation: u64,
+    },
     /// Withdraws a suspicion: a target has answered the request.
     Exonerate {
         /// Fingerprint of the request.
--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -219,6 +219,9 @@
                 Ok(removed)
             }
             Change::Suspect { fingerprint, target } => Ok(self.record_crash(*fingerprint, target)),
+            Change::RetireTarget { name, incarnation } => {
+                Ok(self.retire_target(name, *incarnation))
+            }
             Change::Exonerate { fingerprint } => Ok(self.suspects.remove(fingerprint).is_some()),
             Change::Tick => Ok(self.expire_suspects()),
             Change::Claim(_) | Change::Settle { .. } => Ok(false),
@@ -336,6 +339,17 @@
         Ok(old.as_ref() != Some(&target))
     }
 
+    /// Marks a target as leaving. Returns whether it was in service.
+    fn retire_target(&mut self, name: &str, incarnation: u64) -> bool {
+        let serving = self
+            .targets
+            .get_mut(name)
+            .filter(|it| (it.incarnation, it.phase) == (incarnation, Phase::Serving));
+        let Some(target) = serving else { return false };
+        target.phase = Phase::Leaving;
+        true
+    }
+
     /// Checks that each shard number is less than the number of shards, and that the latter agrees with the known
     /// version.
     fn check_holdings(&self, holdings: &[Holding]) -> Result<(), Error> {
--- a/tests/raft/disks.rs
+++ b/tests/raft/disks.rs
@@ -6,7 +6,7 @@
 
 use gentianpass::{
     control::repair,
-    raft::{Event, Member, MemberChange, MemberId, Message, Role},
+    raft::{Core, Event, Member, MemberChange, MemberId, Message, Role},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -259,7 +259,7 @@
         match self.faults {
             Faults::DisksOnly => self.now > self.back_at + CATCH_UP_MS,
             Faults::All => self.leaders().iter().any(|id| {
-                let status = self.nodes[id].core.as_ref().map(|it| it.status());
+                let status = self.nodes[id].core.as_ref().map(Core::status);
                 status.is_some_and(|it| {
                     let mut voters: Vec<_> = it.membership.voters().collect();
                     voters.sort_unstable();
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod delegate;
 mod directory;
 mod gather;
+mod leaving;
 mod responses;
 mod single;
 mod split;
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -49,6 +49,10 @@
     Disconnect,
     /// Refuses the request and says that it did not run.
     Shed,
+    /// Responds with this body and says that it is leaving.
+    Leaving(Vec<u8>),
+    /// Refuses the request with this `Retry-After`, and says that it did not run.
+    Busy(&'static str),
     /// Responds as a process other than the expected one.
     WrongProcess,
     /// Crashes: closes the connection and stops listening.
@@ -134,6 +138,10 @@
     let signature = format!("signature-of-{}", request.headers()["expected"].to_str().unwrap());
     match behaviour {
         Behaviour::Answer(body) => *response.body_mut() = Full::new(body.into()),
+        Behaviour::Leaving(body) => {
+            response.headers_mut().insert("leaving", "1".parse().unwrap());
+            *response.body_mut() = Full::new(body.into());
+        }
         Behaviour::Slow(time, body) => {
             sleep(time).await;
             *response.body_mut() = Full::new(body.into());
@@ -142,10 +150,13 @@
         Behaviour::Disconnect | Behaviour::Crash => {
             return Err(std::io::Error::other("disconnect"));
         }
-        Behaviour::Shed => {
+        Behaviour::Shed | Behaviour::Busy(_) => {
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             let headers = response.headers_mut();
             headers.insert("not-run", "1".parse().unwrap());
+            if let Behaviour::Busy(seconds) = behaviour {
+                headers.insert("retry-after", seconds.parse().unwrap());
+            }
             headers.extend(id.map(|it| (HeaderName::from_static("request-id"), it)));
             return Ok(response);
         }
@@ -279,6 +290,13 @@
         *self.stopped.lock() = Some(name.to_owned());
     }
 
+    /// The targets that are in service.
+    pub fn serving_targets(&self) -> Vec<String> {
+        let tables = self.tables.lock();
+        let serving = tables.config.targets.values().filter(|it| it.phase == Phase::Serving);
+        serving.map(|it| it.name.clone()).collect()
+    }
+
     /// The address at which a relay listens to other relays.
     pub fn rpc_addr(&self, name: &str) -> SocketAddr {
         self.tables.lock().config.nodes[name].rpc
@@ -505,6 +523,7 @@
         signatures: HeaderName::from_static("signatures"),
         missing_shards: HeaderName::from_static("missing"),
         not_run: HeaderName::from_static("not-run"),
+        leaving: HeaderName::from_static("leaving"),
     }
 }
 
