--- a/tests/relay/responses.rs
+++ b/tests/relay/responses.rs
@@ -182,6 +182,29 @@
     }
 }
 
+/// Guards against a response whose target stopped in the middle of its head and is passed on as complete, with an empty or
+/// short body.
+#[tokio::test]
+async fn head_cut() {
+    const HEAD: &str =
+        "HTTP/1.1 200 OK\r\nrequest-id: q-1\r\nsignature: s\r\ncontent-length: 16\r\n\r\n";
+    for end in [Step::Close, Step::Reset] {
+        let target = ScriptedTarget::start(move |_, number| {
+            let part = HEAD.as_bytes()[..=number].to_vec();
+            vec![Step::Send(part), Step::Pause(Duration::from_millis(2)), end.clone()]
+        })
+        .await;
+        let harness = Harness::start().await;
+        harness.announce("near", "s", "near", target.addr);
+        harness.put_routes(vec![single(Kind::AtMostOnce)]).await;
+        for _ in 0..HEAD.len() {
+            let (status, _, body) = harness.get("/one/x").await;
+            assert_eq!(status, StatusCode::BAD_GATEWAY, "{body:?}");
+        }
+        assert_eq!(target.requests.load(Ordering::SeqCst), HEAD.len());
+    }
+}
+
 /// Bytes without end in each part of a response: the bytes before them, and what is repeated.
 fn endless_responses(id: &str) -> Vec<(&'static str, String, Vec<u8>)> {
     let ok = format!("HTTP/1.1 200 OK\r\nsignature: s\r\nrequest-id: {id}\r\n");
