control: relays do not return to a control host that does not answer

Cause: every 2 s a relay returned to the first control host of its zone, also if that was gone for good, and polled a host that had lost its disk under both identities. Each such poll costs 0.4 to 0.7 s, in which no change arrives.

Change: a control host that failed or was late is not preferred for 10 s; an address is polled once.

Measured: polls::silent_preferred_host_is_avoided failed before (402.8 ms, 400 allowed) and passes.

--- a/src/control/poller.rs
+++ b/src/control/poller.rs
@@ -20,9 +20,31 @@
 /// partition returns no error, and waiting for the call timeout would leave too little of the lease for another poll.
 const SECOND_POLL_DELAY: Duration = Duration::from_millis(200);
 
+/// A control host that failed to answer a poll, or was late, is not preferred for this long. It may be gone for good, and
+/// each poll to it would delay changes.
+const AVOIDANCE: Duration = Duration::from_secs(10);
+
+/// A control host that can be polled.
+struct Candidate {
+    addr: SocketAddr,
+    client: Client,
+    /// When it last failed to answer a poll in time, if it has not answered one since.
+    failed_at: Option<Instant>,
+}
+
+impl Candidate {
+    fn new(addr: SocketAddr) -> Self {
+        Self { addr, client: Client::new(vec![addr]), failed_at: None }
+    }
+
+    fn is_avoided(&self) -> bool {
+        self.failed_at.is_some_and(|it| it.elapsed() < AVOIDANCE)
+    }
+}
+
 /// Polls a preferred control host, and fails over to the next one.
 pub struct ConfigPoller {
-    clients: Vec<(SocketAddr, Client)>,
+    candidates: Vec<Candidate>,
     current_host: usize,
     node: String,
     incarnation: u64,
@@ -43,33 +65,33 @@
     /// Creates a poller for the process `incarnation` of the host `node`. A poll waits at most `wait` for a newer
     /// revision.
     pub fn new(hosts: &[SocketAddr], node: String, incarnation: u64, wait: Duration) -> Self {
-        let clients = hosts.iter().map(|it| (*it, Client::new(vec![*it]))).collect();
-        Self { clients, current_host: rand::random::<u16>() as usize, node, incarnation, wait }
+        let candidates = hosts.iter().copied().map(Candidate::new).collect();
+        Self { candidates, current_host: rand::random::<u16>() as usize, node, incarnation, wait }
     }
 
     /// Replaces the list of control hosts, the preferred ones first. Connections to hosts that stay in the list are
     /// kept. An empty list is ignored.
     pub fn replace_hosts(&mut self, hosts: &[SocketAddr]) {
-        if hosts.is_empty() || hosts.iter().eq(self.clients.iter().map(|(addr, _)| addr)) {
+        if hosts.is_empty() || hosts.iter().eq(self.candidates.iter().map(|it| &it.addr)) {
             return;
         }
-        let mut known = std::mem::take(&mut self.clients);
+        let mut known = std::mem::take(&mut self.candidates);
         for host in hosts {
-            let at = known.iter().position(|(addr, _)| addr == host);
-            let client = at.map(|it| known.swap_remove(it));
-            self.clients.push(client.unwrap_or_else(|| (*host, Client::new(vec![*host]))));
+            let at = known.iter().position(|it| it.addr == *host);
+            let candidate = at.map(|it| known.swap_remove(it));
+            self.candidates.push(candidate.unwrap_or_else(|| Candidate::new(*host)));
         }
         self.current_host = 0;
     }
 
-    /// Returns to the first control host, which is the preferred one.
+    /// Returns to the preferred control host: the first one that has not failed lately.
     pub fn prefer_first(&mut self) {
-        self.current_host = 0;
+        self.current_host = self.candidates.iter().position(|it| !it.is_avoided()).unwrap_or(0);
     }
 
     /// The client of the current control host: the one that last responded, or the next one after a failed poll.
     pub fn client(&self) -> &Client {
-        &self.clients[self.current_host % self.clients.len()].1
+        &self.candidates[self.current_host % self.candidates.len()].client
     }
 
     /// Polls the current control host, and also the next one if the response is late. The first successful response is
@@ -107,17 +129,25 @@
             }
         };
         drop(polls);
-        self.current_host = match &result {
-            Ok(it) => it.host,
-            Err(_) => (self.current_host + 1) % self.clients.len(),
+        let polled = self.current_host % self.candidates.len();
+        let answered = result.as_ref().ok().map(|it| it.host);
+        if answered != Some(polled) {
+            self.candidates[polled].failed_at = Some(Instant::now());
+        }
+        self.current_host = match answered {
+            Some(host) => {
+                self.candidates[host].failed_at = None;
+                host
+            }
+            None => (polled + 1) % self.candidates.len(),
         };
         result
     }
 
     async fn poll(&self, offset: usize, poll: Poll) -> Result<PollResponse> {
-        let host = (self.current_host + offset) % self.clients.len();
+        let host = (self.current_host + offset) % self.candidates.len();
         let sent_at = Instant::now();
-        let update = self.clients[host].1.poll(poll).await?;
+        let update = self.candidates[host].client.poll(poll).await?;
         Ok(PollResponse { sent_at, host, update })
     }
 }
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -1,6 +1,7 @@
 //! Follows the configuration of the control hosts, registers this host with them and submits its reports.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -113,7 +114,13 @@
         let cfg = &self.host.cfg;
         let own_region = cfg.region(&cfg.zone);
         members.sort_by_key(|it| (it.zone != cfg.zone, cfg.region(&it.zone) != own_region));
-        let addrs: Vec<_> = members.iter().map(|it| it.rpc).collect();
+        let mut addrs: Vec<SocketAddr> = Vec::new();
+        for member in members {
+            // A host that has lost its disk is a member twice.
+            if !addrs.contains(&member.rpc) {
+                addrs.push(member.rpc);
+            }
+        }
         poller.replace_hosts(&addrs);
         poller.prefer_first();
     }
--- a/tests/control/polls.rs
+++ b/tests/control/polls.rs
@@ -3,17 +3,20 @@
 use std::{
     collections::BTreeMap,
     io::{Read, Write},
-    time::Duration,
+    net::TcpListener,
+    time::{Duration, Instant},
 };
 
 use gentianpass::{
-    control::apply_update,
+    control::{ConfigPoller, apply_update},
     error::Kind,
     route::{Kind as RouteKind, Limits, Route, Service, Table, To},
     state::{Change, Config, Holding, Labels, Phase, Reply, Target},
     wire::control::Update,
 };
 
+use tokio::sync::Notify;
+
 use crate::cluster::{Cluster, ZONES, poll, submit, wait_until};
 
 /// Guards against an entry host whose configuration differs from that of the control hosts after it applied the polled
@@ -183,3 +186,25 @@
         holdings: (0..1_700).map(holding).collect(),
     }
 }
+
+/// Guards against a poller that returns to a preferred control host which does not respond, each time it is told to: that
+/// delayed each change by the time that it takes to give up.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_preferred_host_is_avoided() {
+    const WAIT: Duration = Duration::from_millis(200);
+    /// After the wait and this delay a poller also asks the next host.
+    const SECOND_POLL_DELAY: Duration = Duration::from_millis(200);
+    let cluster = Cluster::start("");
+    cluster.set_label(0, "caller", "x").await;
+    let silent = TcpListener::bind("127.0.0.1:0").expect("listener");
+    let hosts = [silent.local_addr().expect("address"), cluster.hosts[0].rpc];
+    let mut poller = ConfigPoller::new(&hosts, "entry".into(), 1, WAIT);
+    let poll_now = Notify::new();
+    poller.prefer_first();
+    wait_until("the second host answers", async || poller.next_update(0, &poll_now).await.ok())
+        .await;
+    poller.prefer_first();
+    let started = Instant::now();
+    poller.next_update(0, &poll_now).await.expect("confirmed");
+    assert!(started.elapsed() < WAIT + SECOND_POLL_DELAY, "took {:?}", started.elapsed());
+}
