relay, control: log the age of a relay's configuration and failed polls

Cause: not known yet. Change, no logic: refusals and 404 say how long the configuration was not confirmed; a late confirmation says how much of the time was spent in polls (hypothesis 1) and how much in other calls (hypothesis 2); the first failed poll of a control host and its first response after that are logged; counters of rounds of polls, a histogram of the age. A relay that is behind with a small age would show hypothesis 3.

--- a/src/control/poller.rs
+++ b/src/control/poller.rs
@@ -40,6 +40,20 @@
     fn is_avoided(&self) -> bool {
         self.failed_at.is_some_and(|it| it.elapsed() < AVOIDANCE)
     }
+
+    /// Logs the first failure since the last response only, so that a host that is gone does not fill the log.
+    fn record_failure(&mut self, cause: &str) {
+        if self.failed_at.replace(Instant::now()).is_none() {
+            log::info!("event=poll_failed control_host={} cause={cause:?}", self.addr);
+        }
+    }
+
+    fn record_response(&mut self, took: Duration) {
+        if self.failed_at.take().is_some() {
+            let took_ms = took.as_millis();
+            log::info!("event=poll_answered control_host={} took_ms={took_ms}", self.addr);
+        }
+    }
 }
 
 /// Polls a preferred control host, and fails over to the next one.
@@ -130,16 +144,18 @@
         };
         drop(polls);
         let polled = self.current_host % self.candidates.len();
-        let answered = result.as_ref().ok().map(|it| it.host);
-        if answered != Some(polled) {
-            self.candidates[polled].failed_at = Some(Instant::now());
-        }
-        self.current_host = match answered {
-            Some(host) => {
-                self.candidates[host].failed_at = None;
-                host
+        self.current_host = match &result {
+            Ok(PollResponse { host, sent_at, .. }) => {
+                if *host != polled {
+                    self.candidates[polled].record_failure("no response in time");
+                }
+                self.candidates[*host].record_response(sent_at.elapsed());
+                *host
+            }
+            Err(err) => {
+                self.candidates[polled].record_failure(&err.to_string());
+                (polled + 1) % self.candidates.len()
             }
-            None => (polled + 1) % self.candidates.len(),
         };
         result
     }
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -30,6 +30,9 @@
 /// Timeout for submitting a change to the control hosts.
 const SUBMIT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// A configuration that was not confirmed for this long is logged as late.
+const LATE_CONFIG_AGE: Duration = Duration::from_millis(1_500);
+
 /// Maximum number of reports that are submitted between two polls.
 const MAX_REPORTS_AT_ONCE: usize = 32;
 
@@ -53,12 +56,19 @@
         let mut config = Config::default();
         let mut reachable = false;
         let mut next_refresh = Instant::now();
+        let mut polled_for = Duration::ZERO;
         loop {
             let mut poller = self.poller.lock().await;
+            let polled_at = Instant::now();
             let answer = poller.next_update(config.revision, &self.host.poll_now).await;
+            polled_for += polled_at.elapsed();
             self.record_reachability(&mut reachable, answer.as_ref().err());
+            self.host.metrics.record_poll(answer.is_ok());
             match answer {
-                Ok(confirmed) => self.apply_update(&mut config, confirmed.update),
+                Ok(confirmed) => {
+                    self.record_config_age(confirmed.sent_at, std::mem::take(&mut polled_for));
+                    self.apply_update(&mut config, confirmed.update);
+                }
                 Err(_) => tokio::time::sleep(POLL_RETRY_DELAY).await,
             }
             if reachable && next_refresh <= Instant::now() {
@@ -77,6 +87,20 @@
         }
     }
 
+    /// Records how old the configuration had become. A long time that was not spent in polls was spent in the other
+    /// calls to control hosts.
+    fn record_config_age(&self, sent_at: Instant, polled_for: Duration) {
+        let Some(age) = self.host.confirm_config(sent_at) else { return };
+        self.host.metrics.record_config_age(age);
+        if age > LATE_CONFIG_AGE {
+            log::warn!(
+                "event=config_late age_ms={} polled_ms={}",
+                age.as_millis(),
+                polled_for.as_millis()
+            );
+        }
+    }
+
     /// Records an event when the control hosts become unreachable or reachable again.
     fn record_reachability(&self, reachable: &mut bool, err: Option<&Error>) {
         let now_reachable = err.is_none();
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -70,6 +70,8 @@
     view: RwLock<Arc<View>>,
     /// Whether a routing table has been received.
     has_routes: watch::Sender<bool>,
+    /// When the poll that last confirmed the configuration was sent. Commits before it are in force.
+    confirmed_at: Mutex<Option<Instant>>,
     leaving: AtomicBool,
     /// When requests that are still running get their final answer; set once this host is leaving.
     answer_by: OnceLock<Instant>,
@@ -100,6 +102,7 @@
             builder: Mutex::new(Builder::new(cfg.clone())),
             view: RwLock::default(),
             has_routes: watch::Sender::new(false),
+            confirmed_at: Mutex::default(),
             leaving: AtomicBool::new(false),
             answer_by: OnceLock::new(),
             out_of_time: watch::Sender::new(false),
@@ -155,6 +158,18 @@
         self.events.record(Event::new(Kind::ConfigApplied, cause));
     }
 
+    /// Records that a poll sent at this time has confirmed the configuration. Returns its age before that, if it was
+    /// confirmed before.
+    pub(super) fn confirm_config(&self, sent_at: Instant) -> Option<Duration> {
+        let before = self.confirmed_at.lock().replace(sent_at);
+        before.map(|it| it.elapsed())
+    }
+
+    /// The time since the configuration was last confirmed, in milliseconds, for the log; -1 if it never was.
+    pub(super) fn config_age_ms(&self) -> i64 {
+        self.confirmed_at.lock().map_or(-1, |it| it.elapsed().as_millis() as i64)
+    }
+
     pub(super) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -19,6 +19,8 @@
     /// Failed delegations by outcome.
     pub(super) delegations: IntCounterVec,
     pub(super) connections: IntCounterVec,
+    polls: IntCounterVec,
+    config_age: HistogramVec,
 }
 
 impl Metrics {
@@ -61,6 +63,16 @@
                 "New connections to targets",
                 &[],
             ),
+            polls: counter(
+                "gentianpass_relay_polls_total",
+                "Rounds of polls of the control hosts by result",
+                &["result"],
+            ),
+            config_age: registry.duration(
+                "gentianpass_relay_config_age_seconds",
+                "Age of the configuration when a poll confirmed it again",
+                &[],
+            ),
         }
     }
 
@@ -71,6 +83,15 @@
         self.answer_time.with_label_values(&[route]).observe(took_s);
     }
 
+    pub(super) fn record_poll(&self, confirmed: bool) {
+        let result = if confirmed { "ok" } else { "failed" };
+        self.polls.with_label_values(&[result]).inc();
+    }
+
+    pub(super) fn record_config_age(&self, age: Duration) {
+        self.config_age.with_label_values::<&str>(&[]).observe(age.as_secs_f64());
+    }
+
     pub(super) fn record_exchange(&self, outcome: &Outcome, took: Duration) {
         let label = match outcome {
             Outcome::Answered(it) if it.status.is_server_error() => "failed",
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    HeaderMap, Method, Response, StatusCode, Uri,
+    HeaderMap, Method, Response, Uri,
     header::{EXPECT, HOST, HeaderValue},
     http::request::Parts,
 };
@@ -260,9 +260,10 @@
     let Some(view) = host.ready_view(&head.headers).await else {
         return response::not_ready("no_routes");
     };
-    let query = match Query::resolve(host, view, connection, head, body, arrived) {
+    let request_id = head.headers.get(&host.cfg.headers.request_id).cloned();
+    let query = match Query::resolve(host, view.clone(), connection, head, body, arrived) {
         Ok(query) => Arc::new(query),
-        Err(cause) => return response::text(StatusCode::NOT_FOUND, cause, Duration::ZERO),
+        Err(cause) => return response::not_found(host, &view, request_id.as_ref(), cause),
     };
     if query.is_quarantined() {
         host.metrics.record_answer(&query, "quarantined");
--- a/src/relay/response.rs
+++ b/src/relay/response.rs
@@ -16,6 +16,7 @@
     exchange::{KEEP_ALIVE, TargetResponse},
     host::Host,
     request::Query,
+    view::View,
 };
 
 /// Hop-by-hop headers, which must not be forwarded, and `Content-Length`, which is set anew for each message.
@@ -59,7 +60,8 @@
 /// Builds the response for a request that failed, with `Retry-After` if nothing ran.
 pub(super) fn refuse(host: &Host, query: &Query, refusal: &Refusal<'_>) -> Response<Full<Bytes>> {
     log::info!(
-        "event=refused request={} route={} status={} cause={} took_ms={} version={} revision={}",
+        "event=refused request={} route={} status={} cause={} took_ms={} version={} revision={} \
+         config_age_ms={}",
         query.id(),
         query.route().config.name,
         refusal.status.as_u16(),
@@ -67,6 +69,7 @@
         query.arrived.elapsed().as_millis(),
         query.view.table.version,
         query.view.revision,
+        host.config_age_ms(),
     );
     // A caller that comes back before a service has a target again would be refused once more.
     let paused = query.paused_for(Instant::now());
@@ -96,6 +99,23 @@
     text(StatusCode::SERVICE_UNAVAILABLE, cause, RETRY_AFTER_DEFAULT)
 }
 
+/// Builds the response for a request that the routing table does not allow.
+pub(super) fn not_found(
+    host: &Host,
+    view: &View,
+    request_id: Option<&HeaderValue>,
+    cause: &str,
+) -> Response<Full<Bytes>> {
+    log::info!(
+        "event=refused request={} status=404 cause={cause} version={} revision={} config_age_ms={}",
+        request_id.and_then(|it| it.to_str().ok()).unwrap_or("-"),
+        view.table.version,
+        view.revision,
+        host.config_age_ms(),
+    );
+    text(StatusCode::NOT_FOUND, cause, Duration::ZERO)
+}
+
 /// Forwards the response of a target.
 pub(super) fn forward(
     host: &Host,
