--- a/tests/control/polls.rs
+++ b/tests/control/polls.rs
@@ -208,3 +208,25 @@
     poller.next_update(0, &poll_now).await.expect("confirmed");
     assert!(started.elapsed() < WAIT + SECOND_POLL_DELAY, "took {:?}", started.elapsed());
 }
+
+/// Guards against a poller that tries control hosts which are gone one after the other, each for its whole time-out. The
+/// first poll that is answered must leave time for the configuration to be in force in time (`configApplyMs`).
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_hosts_delay_update_within_bound() {
+    const APPLY: Duration = Duration::from_secs(3);
+    const WAIT: Duration = Duration::from_secs(1);
+    const RETRY_DELAY: Duration = Duration::from_millis(100);
+    let cluster = Cluster::start("");
+    cluster.set_label(0, "caller", "x").await;
+    let silent: Vec<_> =
+        (0..3).map(|_| TcpListener::bind("127.0.0.1:0").expect("listener")).collect();
+    let gone = silent.iter().map(|it| it.local_addr().expect("address"));
+    let hosts: Vec<_> = gone.chain([cluster.hosts[0].rpc]).collect();
+    let mut poller = ConfigPoller::new(&hosts, "entry".into(), 1, WAIT);
+    poller.prefer_first();
+    let started = Instant::now();
+    while poller.next_update(0, &Notify::new()).await.is_err() {
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+    assert!(started.elapsed() < APPLY, "took {:?}", started.elapsed());
+}
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod cold_start;
 mod delegate;
 mod directory;
+mod follow;
 mod gather;
 mod leaving;
 mod responses;
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -281,6 +281,8 @@
     tables: Arc<Mutex<Tables>>,
     /// The host that gets no more updates.
     stopped: Arc<Mutex<Option<String>>>,
+    /// Whether submitted changes get no response.
+    submissions_hang: Arc<AtomicBool>,
     revision: watch::Sender<u64>,
 }
 
@@ -290,6 +292,11 @@
         *self.stopped.lock() = Some(name.to_owned());
     }
 
+    /// From now on, submitted changes get no response.
+    pub fn hang_submissions(&self) {
+        self.submissions_hang.store(true, Ordering::SeqCst);
+    }
+
     /// The targets that are in service.
     pub fn serving_targets(&self) -> Vec<String> {
         let tables = self.tables.lock();
@@ -302,6 +309,22 @@
         self.tables.lock().config.nodes[name].rpc
     }
 
+    /// The process of a relay that is registered.
+    pub fn incarnation(&self, name: &str) -> u64 {
+        self.tables.lock().config.nodes[name].incarnation
+    }
+
+    /// Adds a copy of the first route under another prefix.
+    pub fn add_route(&self, prefix: &str) {
+        let mut table = self.tables.lock().config.routes.clone();
+        table.version += 1;
+        let (name, prefix) = (prefix.to_owned(), prefix.to_owned());
+        let added = Route { name, prefix, ..table.routes[0].clone() };
+        table.routes.push(added);
+        let reply = self.apply(Change::PutRoutes(Box::new(table)));
+        assert!(matches!(reply, Reply::Applied { .. }), "{reply:?}");
+    }
+
     pub fn apply(&self, change: Change) -> Reply {
         let mut tables = self.tables.lock();
         let base = Some(tables.config.operator_revision);
@@ -325,6 +348,9 @@
     }
 
     async fn submit(&self, submit: Submit) -> Result<Reply> {
+        if self.submissions_hang.load(Ordering::SeqCst) {
+            std::future::pending::<()>().await;
+        }
         Ok(self.apply(submit.change))
     }
 }
@@ -347,6 +373,7 @@
         let control = StubControl {
             tables: Arc::default(),
             stopped: Arc::default(),
+            submissions_hang: Arc::default(),
             revision: watch::Sender::new(0),
         };
         let control_addr = control::serve(control.clone()).await.unwrap();
