control: a poller asks the next control host as soon as those before are late

Cause: a poller gave each control host that is gone its whole time-out, two of them at a time, and the second one of a failed round became the next one to be polled; a host that was not known, or had failed 10 s before, was preferred although it had not answered; a connection that fell silent was kept, because another host had answered before its time-out. Change: while there is no response, one more host is polled each 200 ms, those that work first; an error asks the next one at once; every host that is late is remembered as failed and its connection closed. A preferred host is returned to only after it has answered a poll that is sent beside the one to the current host.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -147,6 +147,11 @@
         response
     }
 
+    /// Closes the connection. The next call opens another one.
+    pub(super) fn disconnect(&self) {
+        *self.connection.lock() = None;
+    }
+
     /// Closes the connection to `host` and selects the next host, unless a concurrent call has already done so.
     fn fail_over(&self, host: usize) {
         let next = (host + 1) % self.hosts.len();
--- a/src/control/poller.rs
+++ b/src/control/poller.rs
@@ -16,49 +16,59 @@
     wire::control::{Poll, Update},
 };
 
-/// A second control host is polled if the first one is this late with its response. A control host behind a network
-/// partition returns no error, and waiting for the call timeout would leave too little of the lease for another poll.
-const SECOND_POLL_DELAY: Duration = Duration::from_millis(200);
+/// The next control host is polled as well if the ones polled so far are this late with their responses. One that is gone
+/// without a reset returns no error, and waiting for its time-outs one host after the other would leave the configuration
+/// old for seconds.
+const LATE_AFTER: Duration = Duration::from_millis(200);
 
-/// A control host that failed to answer a poll, or was late, is not preferred for this long. It may be gone for good, and
-/// each poll to it would delay changes.
-const AVOIDANCE: Duration = Duration::from_secs(10);
+/// How often a preferred control host that does not work is asked whether it does.
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// What is known of a control host from its last poll.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Health {
+    Works,
+    /// It was not polled yet.
+    Unknown,
+    /// It failed to answer in time.
+    Failed(Instant),
+}
 
 /// A control host that can be polled.
 struct Candidate {
     addr: SocketAddr,
     client: Client,
-    /// When it last failed to answer a poll in time, if it has not answered one since.
-    failed_at: Option<Instant>,
+    health: Health,
+    probed_at: Option<Instant>,
 }
 
 impl Candidate {
     fn new(addr: SocketAddr) -> Self {
-        Self { addr, client: Client::new(vec![addr]), failed_at: None }
-    }
-
-    fn is_avoided(&self) -> bool {
-        self.failed_at.is_some_and(|it| it.elapsed() < AVOIDANCE)
+        Self { addr, client: Client::new(vec![addr]), health: Health::Unknown, probed_at: None }
     }
 
     /// Logs the first failure since the last response only, so that a host that is gone does not fill the log.
     fn record_failure(&mut self, cause: &str) {
-        if self.failed_at.replace(Instant::now()).is_none() {
+        if !matches!(self.health, Health::Failed(_)) {
             log::info!("event=poll_failed control_host={} cause={cause:?}", self.addr);
         }
+        self.health = Health::Failed(Instant::now());
     }
 
     fn record_response(&mut self, took: Duration) {
-        if self.failed_at.take().is_some() {
+        if matches!(self.health, Health::Failed(_)) {
             let took_ms = took.as_millis();
             log::info!("event=poll_answered control_host={} took_ms={took_ms}", self.addr);
         }
+        self.health = Health::Works;
     }
 }
 
-/// Polls a preferred control host, and fails over to the next one.
+/// Polls a preferred control host, and fails over to the others.
 pub struct ConfigPoller {
     candidates: Vec<Candidate>,
+    /// Whether the candidates are in order of preference.
+    is_ordered: bool,
     current_host: usize,
     node: String,
     incarnation: u64,
@@ -80,7 +90,8 @@
     /// revision.
     pub fn new(hosts: &[SocketAddr], node: String, incarnation: u64, wait: Duration) -> Self {
         let candidates = hosts.iter().copied().map(Candidate::new).collect();
-        Self { candidates, current_host: rand::random::<u16>() as usize, node, incarnation, wait }
+        let current_host = rand::random::<u16>() as usize;
+        Self { candidates, is_ordered: false, current_host, node, incarnation, wait }
     }
 
     /// Replaces the list of control hosts, the preferred ones first. Connections to hosts that stay in the list are
@@ -98,73 +109,134 @@
         self.current_host = 0;
     }
 
-    /// Returns to the preferred control host: the first one that has not failed lately.
+    /// Prefers the first control hosts in the list from now on: returns to the first one that works, and asks those
+    /// before it from time to time whether they do. A host is returned to only after it has answered.
     pub fn prefer_first(&mut self) {
-        self.current_host = self.candidates.iter().position(|it| !it.is_avoided()).unwrap_or(0);
+        self.is_ordered = true;
+        let works = |it: &Candidate| it.health == Health::Works;
+        self.current_host = self.candidates.iter().position(works).unwrap_or(0);
     }
 
-    /// The client of the current control host: the one that last responded, or the next one after a failed poll.
+    /// The client of the current control host: the one that last answered, or the next one after a failed round.
     pub fn client(&self) -> &Client {
         &self.candidates[self.current_host % self.candidates.len()].client
     }
 
-    /// Polls the current control host, and also the next one if the response is late. The first successful response is
-    /// returned and its host becomes the current one. A notification of `poll_now` sends a poll that does not wait.
+    /// Polls the current control host. As long as there is no response, the next one is polled as well when those polled
+    /// before are late or fail. The first successful response is returned, and its host becomes the current one. Fails
+    /// once all control hosts have failed. A notification of `poll_now` sends a poll that does not wait.
     pub async fn next_update(
         &mut self,
         revision: Revision,
         poll_now: &Notify,
     ) -> Result<PollResponse> {
-        let poll = |wait: Duration| Poll {
-            node: self.node.clone(),
-            incarnation: self.incarnation,
-            revision,
-            wait_ms: wait.as_millis() as u64,
-        };
+        let current = self.current_host % self.candidates.len();
+        let probed = self.next_probe(current);
+        if let Some(host) = probed {
+            self.candidates[host].probed_at = Some(Instant::now());
+        }
+        let current_failed = matches!(self.candidates[current].health, Health::Failed(_));
+        let first_wait = if current_failed { Duration::ZERO } else { self.wait };
+        let mut others = self.others(current).into_iter();
+        let mut failures = Vec::new();
+        let mut sent: Vec<(usize, Instant)> = Vec::new();
         let mut polls = FuturesUnordered::new();
-        polls.push(self.poll(0, poll(self.wait)));
-        let second_poll_delay = tokio::time::sleep(self.wait + SECOND_POLL_DELAY);
-        tokio::pin!(second_poll_delay);
-        let mut second_poll_sent = false;
+        let mut send = |polls: &mut FuturesUnordered<_>, host: usize, wait: Duration| {
+            sent.push((host, Instant::now() + wait));
+            polls.push(self.poll(host, revision, wait));
+        };
+        send(&mut polls, current, first_wait);
+        if let Some(host) = probed {
+            send(&mut polls, host, Duration::ZERO);
+        }
+        let late = tokio::time::sleep(first_wait + LATE_AFTER);
+        tokio::pin!(late);
         let result = loop {
-            tokio::select! {
-                Some(answer) = polls.next() => match answer {
-                    Ok(confirmed) => break Ok(confirmed),
-                    Err(err) if polls.is_empty() => break Err(err),
-                    Err(err) => log::debug!("action=poll result={err:?}"),
+            let next = tokio::select! {
+                Some((host, response)) = polls.next() => match response {
+                    Ok(response) => break Ok(response),
+                    Err(err) => {
+                        failures.push((host, err.to_string()));
+                        let next = if Some(host) == probed { None } else { others.next() };
+                        if next.is_none() && polls.is_empty() {
+                            break Err(err);
+                        }
+                        next
+                    }
                 },
                 () = poll_now.notified() => {
-                    polls.push(self.poll(0, poll(Duration::ZERO)));
-                }
-                () = &mut second_poll_delay, if !second_poll_sent => {
-                    second_poll_sent = true;
-                    polls.push(self.poll(1, poll(Duration::ZERO)));
+                    send(&mut polls, current, Duration::ZERO);
+                    None
                 }
+                () = &mut late, if others.len() > 0 => others.next(),
+            };
+            if let Some(host) = next {
+                late.as_mut().reset(tokio::time::Instant::now() + LATE_AFTER);
+                send(&mut polls, host, Duration::ZERO);
             }
         };
         drop(polls);
-        let polled = self.current_host % self.candidates.len();
-        self.current_host = match &result {
-            Ok(PollResponse { host, sent_at, .. }) => {
-                if *host != polled {
-                    self.candidates[polled].record_failure("no response in time");
-                }
-                self.candidates[*host].record_response(sent_at.elapsed());
-                *host
-            }
-            Err(err) => {
-                self.candidates[polled].record_failure(&err.to_string());
-                (polled + 1) % self.candidates.len()
-            }
-        };
+        self.record_round(&sent, &failures, result.as_ref().ok());
         result
     }
 
-    async fn poll(&self, offset: usize, poll: Poll) -> Result<PollResponse> {
-        let host = (self.current_host + offset) % self.candidates.len();
+    /// The control host to ask whether it works: the first one among those that are preferred to the current one and were
+    /// not asked lately.
+    fn next_probe(&self, current: usize) -> Option<usize> {
+        let preferred = if self.is_ordered { &self.candidates[..current] } else { &[] };
+        preferred.iter().position(|it| it.probed_at.is_none_or(|at| at.elapsed() >= PROBE_INTERVAL))
+    }
+
+    /// The control hosts to poll after the current one: those that work, then those that are not known, then the one that
+    /// failed longest ago, and so on.
+    fn others(&self, current: usize) -> Vec<usize> {
+        let count = self.candidates.len();
+        let mut others: Vec<_> = (1..count).map(|it| (current + it) % count).collect();
+        others.sort_by_key(|it| self.candidates[*it].health);
+        others
+    }
+
+    /// Records which hosts have failed in a round: those that returned an error, and those from which another one would
+    /// have been faster to get a response. Their connections may be silent for good, so they are closed.
+    fn record_round(
+        &mut self,
+        sent: &[(usize, Instant)],
+        failures: &[(usize, String)],
+        response: Option<&PollResponse>,
+    ) {
+        for (host, cause) in failures {
+            self.candidates[*host].record_failure(cause);
+        }
+        let count = self.candidates.len();
+        let Some(PollResponse { host: answered, sent_at, .. }) = response else {
+            self.current_host = (self.current_host + 1) % count;
+            return;
+        };
+        for (host, due) in sent {
+            if host != answered && due.elapsed() >= LATE_AFTER {
+                self.candidates[*host].record_failure("no response in time");
+                self.candidates[*host].client.disconnect();
+            }
+        }
+        self.candidates[*answered].record_response(sent_at.elapsed());
+        self.current_host = *answered;
+    }
+
+    async fn poll(
+        &self,
+        host: usize,
+        revision: Revision,
+        wait: Duration,
+    ) -> (usize, Result<PollResponse>) {
         let sent_at = Instant::now();
-        let update = self.candidates[host].client.poll(poll).await?;
-        Ok(PollResponse { sent_at, host, update })
+        let poll = Poll {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            revision,
+            wait_ms: wait.as_millis() as u64,
+        };
+        let update = self.candidates[host].client.poll(poll).await;
+        (host, update.map(|update| PollResponse { sent_at, host, update }))
     }
 }
 
