relay: polls no longer wait for reports and the registration

Cause: one loop polled, refreshed the members, submitted reports and registered, each awaited in turn. A control host that cannot reach the leader, or has just started, answers polls and lets submissions run into their time-out, 1 s each, in which no change arrived (config_late age_ms=5032 polled_ms=3818, so 1.2 s of it). Change: two tasks. One polls and applies, the other one submits through the control host that answered the last poll.

--- a/src/control/poller.rs
+++ b/src/control/poller.rs
@@ -117,9 +117,9 @@
         self.current_host = self.candidates.iter().position(works).unwrap_or(0);
     }
 
-    /// The client of the current control host: the one that last answered, or the next one after a failed round.
-    pub fn client(&self) -> &Client {
-        &self.candidates[self.current_host % self.candidates.len()].client
+    /// The address of the current control host: the one that last answered, or the next one after a failed round.
+    pub fn current_addr(&self) -> SocketAddr {
+        self.candidates[self.current_host % self.candidates.len()].addr
     }
 
     /// Polls the current control host. As long as there is no response, the next one is polled as well when those polled
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -322,7 +322,7 @@
         );
         let (name, incarnation) = (target.name.clone(), target.incarnation);
         host.reports.push(Change::RetireTarget { name, incarnation });
-        host.poll_now.notify_one();
+        host.submit_now.notify_one();
     }
     if head.status == StatusCode::SERVICE_UNAVAILABLE
         && let Some(pause) = retry_after(&head.headers)
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -1,4 +1,7 @@
-//! Follows the configuration of the control hosts, registers this host with them and submits its reports.
+//! Follows the configuration of the control hosts. Registers this host with them and submits its reports.
+//!
+//! Polls and submissions are separate tasks: a control host may answer polls and yet be unable to commit a change, and
+//! the configuration must not wait for that.
 
 use std::{
     net::SocketAddr,
@@ -7,10 +10,11 @@
 };
 
 use futures::future::join_all;
-use tokio::sync::Mutex;
+use parking_lot::Mutex;
+use tokio::sync::{Notify, watch};
 
 use crate::{
-    control::{self, ConfigPoller},
+    control::{self, Client, ConfigPoller},
     error::{Error, Kind, Result},
     event::{Event, Kind as EventKind},
     relay::host::Host,
@@ -21,8 +25,8 @@
 /// `node_expiry_ms`, after which control hosts remove a host that does not poll.
 const MAX_POLL_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Delay after a failed poll.
-const POLL_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Delay after a failed poll or submission.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// How often the addresses of the control hosts are refreshed.
 const MEMBERS_REFRESH_INTERVAL: Duration = Duration::from_secs(2);
@@ -33,84 +37,89 @@
 /// A configuration that was not confirmed for this long is logged as late.
 const LATE_CONFIG_AGE: Duration = Duration::from_millis(1_500);
 
-/// Maximum number of reports that are submitted between two polls.
+/// Maximum number of reports that are submitted at once.
 const MAX_REPORTS_AT_ONCE: usize = 32;
 
+/// What the polls tell the task that submits.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Position {
+    /// The control host that answered the last poll; none if no control host could be reached.
+    control_host: Option<SocketAddr>,
+    /// The registered process of this host, and whether it is registered as leaving.
+    registered: Option<(u64, bool)>,
+}
+
 /// Synchronises this host with the control hosts.
 pub(super) struct ControlSync {
     host: Arc<Host>,
-    poller: Mutex<ConfigPoller>,
+    position: watch::Sender<Position>,
+    /// The control hosts to poll from the next poll on, the preferred ones first.
+    new_members: Mutex<Option<Vec<SocketAddr>>>,
 }
 
 impl ControlSync {
     pub(super) fn new(host: Arc<Host>) -> Self {
-        let cfg = &host.cfg;
-        let poller =
-            ConfigPoller::new(&cfg.control, cfg.name.clone(), host.incarnation, MAX_POLL_WAIT);
-        Self { poller: Mutex::new(poller), host }
+        Self { host, position: watch::Sender::default(), new_members: Mutex::default() }
     }
 
-    /// Polls the control hosts and applies what changed, until the task is aborted. Registers this host whenever its
-    /// entry in the configuration is missing or outdated.
+    /// Follows the configuration and submits changes until the task is aborted.
     pub(super) async fn run(&self) {
+        tokio::join!(self.follow(), self.submit());
+    }
+
+    /// Polls the control hosts and applies what changed.
+    async fn follow(&self) {
+        let cfg = &self.host.cfg;
+        let mut poller =
+            ConfigPoller::new(&cfg.control, cfg.name.clone(), self.host.incarnation, MAX_POLL_WAIT);
         let mut config = Config::default();
-        let mut reachable = false;
-        let mut next_refresh = Instant::now();
-        let mut polled_for = Duration::ZERO;
+        // Nothing here needs an answer sooner than the polls bring it.
+        let poll_now = Notify::new();
         loop {
-            let mut poller = self.poller.lock().await;
-            let polled_at = Instant::now();
-            let answer = poller.next_update(config.revision, &self.host.poll_now).await;
-            polled_for += polled_at.elapsed();
-            self.record_reachability(&mut reachable, answer.as_ref().err());
+            if let Some(members) = self.new_members.lock().take() {
+                poller.replace_hosts(&members);
+                poller.prefer_first();
+            }
+            let answer = poller.next_update(config.revision, &poll_now).await;
             self.host.metrics.record_poll(answer.is_ok());
+            let control_host = answer.is_ok().then(|| poller.current_addr());
+            self.record_reachability(answer.as_ref().err());
             match answer {
                 Ok(confirmed) => {
-                    self.record_config_age(confirmed.sent_at, std::mem::take(&mut polled_for));
+                    self.record_config_age(confirmed.sent_at);
                     self.apply_update(&mut config, confirmed.update);
                 }
-                Err(_) => tokio::time::sleep(POLL_RETRY_DELAY).await,
-            }
-            if reachable && next_refresh <= Instant::now() {
-                next_refresh = Instant::now() + MEMBERS_REFRESH_INTERVAL;
-                self.refresh_members(&mut poller).await;
-            }
-            if reachable {
-                self.submit_reports(&poller).await;
-            }
-            if reachable
-                && !self.is_registered(&config)
-                && let Err(err) = self.register(&poller).await
-            {
-                log::warn!("event=join_failed cause={:?}", err.to_string());
+                Err(_) => tokio::time::sleep(RETRY_DELAY).await,
             }
+            let own = config.nodes.get(&self.host.cfg.name);
+            let registered = own.map(|it| (it.incarnation, it.leaving));
+            let position = Position { control_host, registered };
+            self.position.send_if_modified(|it| {
+                let changed = *it != position;
+                *it = position;
+                changed
+            });
         }
     }
 
-    /// Records how old the configuration had become. A long time that was not spent in polls was spent in the other
-    /// calls to control hosts.
-    fn record_config_age(&self, sent_at: Instant, polled_for: Duration) {
+    /// Records how old the configuration had become.
+    fn record_config_age(&self, sent_at: Instant) {
         let Some(age) = self.host.confirm_config(sent_at) else { return };
         self.host.metrics.record_config_age(age);
         if age > LATE_CONFIG_AGE {
-            log::warn!(
-                "event=config_late age_ms={} polled_ms={}",
-                age.as_millis(),
-                polled_for.as_millis()
-            );
+            log::warn!("event=config_late age_ms={}", age.as_millis());
         }
     }
 
     /// Records an event when the control hosts become unreachable or reachable again.
-    fn record_reachability(&self, reachable: &mut bool, err: Option<&Error>) {
-        let now_reachable = err.is_none();
-        if *reachable == now_reachable {
-            return;
-        }
-        *reachable = now_reachable;
+    fn record_reachability(&self, err: Option<&Error>) {
+        let was_reachable = self.position.borrow().control_host.is_some();
         let event = match err {
-            None => Event::new(EventKind::LeaseGained, "a control host confirmed a poll"),
-            Some(err) => Event::new(EventKind::LeaseLost, err.to_string()),
+            None if !was_reachable => {
+                Event::new(EventKind::LeaseGained, "a control host confirmed a poll")
+            }
+            Some(err) if was_reachable => Event::new(EventKind::LeaseLost, err.to_string()),
+            _ => return,
         };
         self.host.events.record(event);
     }
@@ -126,9 +135,53 @@
         }
     }
 
+    /// Keeps this host registered, submits its reports and refreshes the list of control hosts, all through the control
+    /// host that answered the last poll.
+    async fn submit(&self) {
+        let mut position = self.position.subscribe();
+        let mut client: Option<(SocketAddr, Client)> = None;
+        let mut next_refresh = Instant::now();
+        loop {
+            let Position { control_host, registered } = position.borrow_and_update().clone();
+            let Some(addr) = control_host else {
+                // The sender lives as long as `self`.
+                let _ = position.changed().await;
+                continue;
+            };
+            let (_, client) = match client.take() {
+                Some(it) if it.0 == addr => client.insert(it),
+                _ => client.insert((addr, Client::new(vec![addr]))),
+            };
+            let refresh = async {
+                if next_refresh <= Instant::now() {
+                    next_refresh = Instant::now() + MEMBERS_REFRESH_INTERVAL;
+                    self.refresh_members(client).await;
+                }
+            };
+            let own = (self.host.incarnation, self.host.is_leaving());
+            let register = async {
+                if registered == Some(own) { Ok(()) } else { self.register(client).await }
+            };
+            let ((), reported, joined) =
+                tokio::join!(refresh, self.submit_reports(client), register);
+            if let Err(err) = &joined {
+                log::warn!("event=join_failed cause={:?}", err.to_string());
+            }
+            if !reported || joined.is_err() {
+                tokio::time::sleep(RETRY_DELAY).await;
+                continue;
+            }
+            tokio::select! {
+                _ = position.changed() => {}
+                () = self.host.submit_now.notified() => {}
+                () = tokio::time::sleep_until(next_refresh.into()) => {}
+            }
+        }
+    }
+
     /// Refreshes the list of control hosts. Those in the own zone are preferred, then those in the own region.
-    async fn refresh_members(&self, poller: &mut ConfigPoller) {
-        let mut members = match poller.client().members().await {
+    async fn refresh_members(&self, client: &Client) {
+        let mut members = match client.members().await {
             Ok(members) => members,
             Err(err) => {
                 log::info!("event=members_unknown cause={:?}", err.to_string());
@@ -145,35 +198,26 @@
                 addrs.push(member.rpc);
             }
         }
-        poller.replace_hosts(&addrs);
-        poller.prefer_first();
+        *self.new_members.lock() = Some(addrs);
     }
 
-    /// Submits reports to the control hosts, several at once, so that polls are delayed by one commit only. Reports that
-    /// fail are kept for the next time.
-    async fn submit_reports(&self, poller: &ConfigPoller) {
+    /// Submits reports, several at once. Those that fail are kept for the next time. Returns whether all were committed.
+    async fn submit_reports(&self, client: &Client) -> bool {
         let reports = self.host.reports.take(MAX_REPORTS_AT_ONCE);
         let submitted = reports.into_iter().map(async |change| {
-            let result = poller.client().submit(None, change.clone(), SUBMIT_TIMEOUT).await;
-            if let Err(err) = result {
+            let result = client.submit(None, change.clone(), SUBMIT_TIMEOUT).await;
+            if let Err(err) = &result {
                 log::warn!("event=report_failed cause={:?}", err.to_string());
                 self.host.reports.push(change);
             }
+            result.is_ok()
         });
-        join_all(submitted).await;
-    }
-
-    fn is_registered(&self, config: &Config) -> bool {
-        let host = &self.host;
-        config
-            .nodes
-            .get(&host.cfg.name)
-            .is_some_and(|it| it.incarnation == host.incarnation && it.leaving == host.is_leaving())
+        join_all(submitted).await.into_iter().all(|it| it)
     }
 
-    async fn register(&self, poller: &ConfigPoller) -> Result<()> {
+    async fn register(&self, client: &Client) -> Result<()> {
         let change = Change::PutNode(self.host.node());
-        match poller.client().submit(None, change, SUBMIT_TIMEOUT).await? {
+        match client.submit(None, change, SUBMIT_TIMEOUT).await? {
             Reply::Applied { .. } => Ok(()),
             Reply::Rejected(err) => Err(err),
             other => Err(Error::new(
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -51,8 +51,8 @@
     pub(super) incarnation: u64,
     pub(super) events: Ring,
     pub(super) metrics: Metrics,
-    /// Polls the control hosts at once instead of waiting for the current poll.
-    pub(super) poll_now: Notify,
+    /// Submits reports and the registration of this host at once.
+    pub(super) submit_now: Notify,
     /// Tells the connections of callers to shut down gracefully.
     pub(super) close_connections: Notify,
     /// Tells the listener for callers to accept what waits in its backlog and to close.
@@ -91,7 +91,7 @@
             incarnation: unix_ms(),
             events: Ring::new(cfg.name.clone()),
             metrics: Metrics::new(&registry),
-            poll_now: Notify::new(),
+            submit_now: Notify::new(),
             close_connections: Notify::new(),
             stop_accepting: Notify::new(),
             peers: Peers::default(),
--- a/src/relay/stop.rs
+++ b/src/relay/stop.rs
@@ -38,7 +38,7 @@
     let start = Instant::now();
     let grace = host.cfg.grace_period;
     host.start_leaving(start + grace * ANSWER_PERCENT / 100);
-    host.poll_now.notify_one();
+    host.submit_now.notify_one();
     host.events.record(Event::new(Kind::Stopping, "signal"));
     sleep(host.cfg.address_ttl.min(grace * CLOSE_PERCENT / 100)).await;
     let accept_until = start + grace * ACCEPT_PERCENT / 100;
--- a/src/relay/suspect.rs
+++ b/src/relay/suspect.rs
@@ -122,7 +122,7 @@
         for target in crashed {
             host.reports.push(Change::Suspect { fingerprint, target });
         }
-        host.poll_now.notify_one();
+        host.submit_now.notify_one();
     });
 }
 
@@ -139,6 +139,6 @@
             query.id()
         );
         host.reports.push(Change::Exonerate { fingerprint });
-        host.poll_now.notify_one();
+        host.submit_now.notify_one();
     }
 }
