relay, owner: bound the memory of responses without end

Cause: only the bodies that were collected counted. hyper buffers up to 400 kB more for each connection, and there are as many connections as all targets together accept. A shard's response was compacted only from 64 kB on, a body that says that it is too long was received all the same. Change: 16 kB of read buffer for each connection to a target, in relays and owners; compaction from 16 kB on; a body whose stated length is too long is refused at once.

--- a/src/owner/http.rs
+++ b/src/owner/http.rs
@@ -29,6 +29,9 @@
 /// another one. A working connection delivers it within this time.
 const LATE_RESPONSE_GRACE: Duration = Duration::from_millis(20);
 
+/// Size of the read buffer of a connection, in bytes, and so the longest response header that is accepted.
+const READ_BUFFER_BYTES: usize = 16 << 10;
+
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
 const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
@@ -88,6 +91,7 @@
         let stream = connecting.await.map_err(|_| io::ErrorKind::TimedOut)??;
         stream.set_nodelay(true)?;
         let (sender, driver) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
--- a/src/relay/buffer.rs
+++ b/src/relay/buffer.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use crate::relay::records::{RECORD_BYTES, merge_records};
 
@@ -16,7 +16,7 @@
 
 /// How much of a shard's response is buffered at least before records that cannot be among the greatest are dropped,
 /// in bytes.
-const MIN_COMPACTION_BYTES: usize = 64 << 10;
+const MIN_COMPACTION_BYTES: usize = 16 << 10;
 
 /// All responses together may buffer this much, in bytes. Beyond it those that hold more than an equal share fail, so
 /// that targets that send without end do not use up the memory for the responses of others.
@@ -90,6 +90,9 @@
         &mut self,
         mut body: Incoming,
     ) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+        if body.size_hint().lower() > MAX_RESPONSE_BYTES as u64 {
+            return Err(BufferError::TooLong.into());
+        }
         while let Some(frame) = body.frame().await {
             if let Some(chunk) = frame?.data_ref() {
                 self.push(chunk)?;
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -17,6 +17,10 @@
 /// Nothing has been sent yet, so another target can take the request.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Size of the read buffer of a connection, in bytes, and so the longest response header that is accepted. Targets that
+/// send without end fill the buffers of all their connections at once.
+const READ_BUFFER_BYTES: usize = 16 << 10;
+
 /// Idle connections are not reused in the last part of the target's keep-alive timeout, because the target may close
 /// them while a request is on its way.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
@@ -91,7 +95,10 @@
         let took_us = start.elapsed().as_micros() as usize;
         self.round_trip_us.fetch_min(took_us, Ordering::Relaxed);
         stream.set_nodelay(true)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, conn) = handshake.map_err(std::io::Error::other)?;
         let driver = tokio::spawn(async move {
             // An error surfaces in the request that is using the connection.
--- a/tests/relay/responses.rs
+++ b/tests/relay/responses.rs
@@ -265,6 +265,27 @@
     harness.wait_until(|| endless.ended.load(Ordering::SeqCst) > 0).await;
 }
 
+/// Guards against a kept connection on which bytes without end follow a valid response: it is closed, and its target goes on
+/// to serve.
+#[tokio::test]
+async fn endless_bytes_after_response() {
+    for pause in [Duration::from_millis(1), Duration::from_millis(1_000)] {
+        let (harness, near, _far) = with_script(Kind::Idempotent, move |id, _| {
+            let response = response_bytes(Some(id), &record(1));
+            vec![Step::Send(response), Step::Endless(pause, b"x".to_vec())]
+        })
+        .await;
+        for number in 0..3 {
+            let started = Instant::now();
+            let (status, _, body) =
+                harness.send_as(&format!("q-{number}"), Request::get("/one/x")).await;
+            assert_eq!((status, body.len()), (StatusCode::OK, record(1).len()));
+            assert!(started.elapsed() < Duration::from_millis(1_000));
+        }
+        harness.wait_until(|| near.ended.load(Ordering::SeqCst) > 0).await;
+    }
+}
+
 #[test]
 fn buffer_keeps_greatest_records() {
     let buffers = Buffers::default();
