control: members that vote are named before those that do not

The list of members is ordered by random ids, so a host that was replaced and is gone could be named before the one that took its place, for 13 s: relays of the zone polled it first, and instances were told to send their next heartbeats and their leave to it (heartbeatAddr), 1 s each time. Change: voters come first; relays and the platform read the list in its order within a zone. Result: failures::replaced_hosts_are_named_last failed before ([false, false, true, true, true, false]) and passes.

--- a/src/control/host.rs
+++ b/src/control/host.rs
@@ -234,11 +234,16 @@
         self.cluster_status.borrow().clone()
     }
 
-    /// The zones and RPC addresses of all cluster members.
+    /// The zones and RPC addresses of all cluster members, voters first: a learner may be a host that was replaced and is
+    /// gone, and whoever reads the list tries the first one of a zone first.
     pub fn member_addresses(&self) -> Vec<MemberEndpoint> {
         let cluster_status = self.cluster_status.borrow();
-        let members = cluster_status.membership.members.values();
-        members.map(|it| MemberEndpoint { zone: it.zone.clone(), rpc: it.rpc }).collect()
+        let mut members: Vec<_> = cluster_status.membership.members.values().collect();
+        members.sort_by_key(|it| !it.voter);
+        members
+            .into_iter()
+            .map(|it| MemberEndpoint { zone: it.zone.clone(), rpc: it.rpc })
+            .collect()
     }
 
     /// The identity that this host reports to other control hosts.
--- a/tests/control/failures.rs
+++ b/tests/control/failures.rs
@@ -84,6 +84,30 @@
     wait_until("polls are confirmed again", async || poll(&client, "entry", 0).await.ok()).await;
 }
 
+/// Guards against a list of members that names hosts which were replaced and are gone before those that took their place:
+/// instances and relays of a zone try the first one of it first.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_hosts_are_named_last() {
+    let mut cluster = Cluster::start("repair_after_ms = 1500");
+    let leader = cluster.wait_for_leader(0).await;
+    let lost = (leader + 1) % 3;
+    let spares: Vec<_> = (0..3).map(|_| cluster.add_spare(crate::cluster::ZONES[lost])).collect();
+    cluster.set_label(spares[2], "caller", "x").await;
+    cluster.kill(lost);
+    let gone = cluster.hosts[lost].rpc;
+    let repaired = cluster
+        .wait_for_state(leader, "the lost host is replaced", |it| {
+            let voters = it.members.iter().filter(|it| it.role != "learner");
+            let lost = it.members.iter().find(|it| it.rpc == gone);
+            voters.count() == 3 && lost.is_some_and(|it| it.role == "learner")
+        })
+        .await;
+    let is_learner = |rpc| repaired.members.iter().any(|it| it.rpc == rpc && it.role == "learner");
+    let members = cluster.client(&[leader]).members().await.expect("members");
+    let roles: Vec<_> = members.iter().map(|it| is_learner(it.rpc)).collect();
+    assert_eq!(roles, [false, false, false, true, true, true]);
+}
+
 /// Guards against a voter set that stays one host short after the loss of a voter: the learner must replace it, so that
 /// the cluster survives the loss of a second voter.
 #[tokio::test(flavor = "multi_thread")]
