entry: polls no longer wait for the join

An entry host that control hosts had removed joined again before it polled. At a control host that answers polls and cannot commit it lost its lease, and refused everything. Change: the join is a task of its own. Result: lease::hanging_join_keeps_lease failed before (lease lost within 5 s) and passes; tests/entry passes.

--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -2,10 +2,13 @@
 //! lease.
 
 use std::{
+    convert::Infallible,
     sync::Arc,
     time::{Duration, Instant},
 };
 
+use tokio::{sync::watch, time::timeout};
+
 use crate::{
     control::{self, ConfigPoller, PollResponse},
     entry::{host::Host, owners::Owners},
@@ -21,29 +24,49 @@
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Polls the control hosts until a newer process with this host's name has joined, and returns that error. Joins again
-/// whenever the control hosts have removed this host.
+/// whenever the control hosts have removed this host. The lease does not wait for that: a control host may answer polls
+/// and yet be unable to commit a change.
 pub(super) async fn run<O: Owners>(host: Arc<Host<O>>) -> Error {
+    let joined = watch::Sender::new(false);
+    tokio::select! {
+        never = follow(&host, &joined) => match never {},
+        err = keep_joined(&host, joined.subscribe()) => err,
+    }
+}
+
+/// Polls the control hosts and applies their updates. `joined` tells whether the configuration has this process.
+async fn follow<O: Owners>(host: &Host<O>, joined: &watch::Sender<bool>) -> Infallible {
     let cfg = &host.context.cfg;
     let wait = Duration::from_millis(cfg.poll_interval_ms);
     let incarnation = host.context.incarnation;
     let mut poller = ConfigPoller::new(&cfg.control, cfg.name.clone(), incarnation, wait);
     let mut config = Config::default();
     loop {
-        if !is_joined(&host, &config)
-            && let Err(err) = join(&host).await
-        {
-            if err.kind == Kind::Conflict {
-                return err;
-            }
-            log::warn!("action=join result={err:?}");
-        }
         match poller.next_update(config.revision, &host.poll_now).await {
-            Ok(response) => apply_update(&host, &mut config, response),
+            Ok(response) => apply_update(host, &mut config, response),
             Err(err) => {
                 log::debug!("action=poll result={err:?}");
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
+        let is_joined = is_joined(host, &config);
+        joined.send_if_modified(|it| std::mem::replace(it, is_joined) != is_joined);
+    }
+}
+
+/// Joins whenever this process is not in the configuration. Returns the error if a newer process has its name.
+async fn keep_joined<O: Owners>(host: &Host<O>, mut joined: watch::Receiver<bool>) -> Error {
+    loop {
+        // The sender lives as long as this future.
+        let _ = joined.wait_for(|it| !it).await;
+        match join(host).await {
+            Ok(()) => drop(timeout(JOIN_TIMEOUT, joined.wait_for(|it| *it)).await),
+            Err(err) if err.kind == Kind::Conflict => return err,
+            Err(err) => {
+                log::warn!("action=join result={err:?}");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
     }
 }
 
--- a/tests/entry/control.rs
+++ b/tests/entry/control.rs
@@ -20,6 +20,8 @@
     Reply,
     /// The change does not arrive.
     Request,
+    /// The change does not arrive, and there is no response.
+    Silent,
 }
 
 type LossRule = dyn Fn(&Change) -> Loss + Send + Sync;
@@ -149,6 +151,7 @@
         match loss {
             Loss::None => Ok(self.0.apply(submit)),
             Loss::Request => Err(loss_error()),
+            Loss::Silent => std::future::pending().await,
             Loss::Reply => {
                 self.0.apply(submit);
                 Err(loss_error())
--- a/tests/entry/lease.rs
+++ b/tests/entry/lease.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::{
+    control::Loss,
     owners::Reply,
     support::{Entry, control, dispatch, now, set_label, until},
 };
@@ -53,6 +54,23 @@
     .await;
 }
 
+/// Guards against a lease that expires because the host joins again through a control host that cannot commit, and polls
+/// only after that.
+#[tokio::test(flavor = "multi_thread")]
+async fn hanging_join_keeps_lease() {
+    const HANGS_FOR: Duration = Duration::from_secs(5);
+    let control = control(2, 1).await;
+    let entry = Entry::start(&control, "entry-1").await;
+    let incarnation = control.tables(|it| it.config.nodes["entry-1"].incarnation);
+    control.set_loss(|_| Loss::Silent);
+    control.accept(Change::RemoveNode { name: "entry-1".into(), incarnation });
+    tokio::time::sleep(HANGS_FOR).await;
+    let events = entry.events().await;
+    assert!(!events.iter().any(|it| it.kind == event::Kind::LeaseLost), "{events:#?}");
+    control.set_loss(|_| Loss::None);
+    until("joined", async || control.tables(|it| it.config.nodes.contains_key("entry-1"))).await;
+}
+
 /// Guards against retries, hedges or a restart that are sent after the lease expired in the middle of a query.
 #[tokio::test(flavor = "multi_thread")]
 async fn lease_ends_in_query() {
