--- a/tests/control/cluster.rs
+++ b/tests/control/cluster.rs
@@ -46,6 +46,8 @@
 /// failed.
 pub struct Cluster {
     pub hosts: Vec<Host>,
+    /// A library that is loaded into the processes before all others.
+    pub preload: Option<PathBuf>,
     dir: TempDir,
     voters: Vec<SocketAddr>,
     extra_settings: String,
@@ -77,8 +79,13 @@
     pub fn prepare(extra_settings: &str) -> Self {
         let dir = TempDir::new().expect("temporary folder");
         let voters = (0..3).map(|_| free_addr()).collect();
-        let mut cluster =
-            Self { hosts: Vec::new(), dir, voters, extra_settings: extra_settings.into() };
+        let mut cluster = Self {
+            hosts: Vec::new(),
+            preload: None,
+            dir,
+            voters,
+            extra_settings: extra_settings.into(),
+        };
         for (i, zone) in ZONES.iter().enumerate() {
             let rpc = cluster.voters[i];
             cluster.add(zone, "voter", rpc);
@@ -115,12 +122,23 @@
         let host = &mut self.hosts[i];
         let log = host.settings.with_extension("log");
         let log = fs::File::options().create(true).append(true).open(log).expect("log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_gentianpass-control"))
-            .arg("--settings")
-            .arg(&host.settings)
-            .stderr(Stdio::from(log))
-            .spawn();
-        host.child = Some(child.expect("started"));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_gentianpass-control"));
+        if let Some(library) = &self.preload {
+            command.env("LD_PRELOAD", library).env("FULL_DISK_DIR", &host.data);
+            command.env("FULL_DISK_LIMIT", host.data.with_extension("limit"));
+        }
+        command.arg("--settings").arg(&host.settings).stderr(Stdio::from(log));
+        host.child = Some(command.spawn().expect("started"));
+    }
+
+    /// Starts the processes again that have ended by themselves, and returns their number.
+    pub fn respawn_ended(&mut self) -> usize {
+        let has_ended = |it: &mut Child| it.try_wait().expect("child").is_some();
+        let ended: Vec<_> = (0..self.hosts.len())
+            .filter(|i| self.hosts[*i].child.as_mut().is_some_and(has_ended))
+            .collect();
+        ended.iter().for_each(|i| self.spawn(*i));
+        ended.len()
     }
 
     /// Kills the process of a host with SIGKILL.
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -3,6 +3,7 @@
 mod chaos;
 mod cluster;
 mod failures;
+mod full_disk;
 mod operators;
 mod polls;
 mod storage;
