relay: a new owner of a cold target waits until the old one's requests no longer count

Cause: ownership follows from each relay's own view, and the limiter of the new owner had counted nothing of what the old one sent. Change: a relay that was not the owner before, or has just started, sends nothing for 1.5 s: the window, and the time in which the old owner learns of the change. A target that is new has no earlier owner and gets its rate at once. What remains: a relay that is cut off from the control hosts goes on as the owner beside its successor.

--- a/src/relay/builder.rs
+++ b/src/relay/builder.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, HashMap, HashSet},
     num::NonZeroUsize,
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use lru::LruCache;
@@ -55,6 +55,8 @@
     latencies: HashMap<String, Arc<Mutex<LatencyEstimate>>>,
     split_pickers: HashMap<String, Arc<SplitPicker>>,
     table: Arc<RouteTable>,
+    /// Whether a view has been built. Before the first one, nothing is known of who owned a target.
+    has_view: bool,
 }
 
 impl Builder {
@@ -68,6 +70,7 @@
             latencies: HashMap::new(),
             split_pickers: HashMap::new(),
             table: Arc::default(),
+            has_view: false,
         }
     }
 
@@ -149,6 +152,7 @@
         let mut known = HashSet::new();
         let mut by_service: BTreeMap<String, Vec<Arc<Target>>> = BTreeMap::new();
         let own_region = self.cfg.region(&self.cfg.zone).to_owned();
+        let now = Instant::now();
         let nodes: Vec<_> = config.nodes.values().map(node_view).collect();
         for target in config.targets.values() {
             let key = (target.name.clone(), target.incarnation);
@@ -162,7 +166,8 @@
             let drained = config.is_drained(ObjectKind::Zone, &target.zone);
             let usable = target.phase == Phase::Serving && !drained;
             shared.set_usable(usable);
-            shared.cold_start.lock().set_access(self.access(config, target, &nodes));
+            let access = self.access(config, target, &nodes);
+            shared.cold_start.lock().set_access(access, !self.has_view, now);
             if let Some(service) = target.labels.get(SERVICE_LABEL)
                 && usable
             {
@@ -179,6 +184,7 @@
             }
             is_known
         });
+        self.has_view = true;
         by_service
     }
 
--- a/src/relay/cold_start.rs
+++ b/src/relay/cold_start.rs
@@ -9,6 +9,10 @@
 /// Length of the sliding window in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(1);
 
+/// How long a new owner sends nothing: until the requests of the previous one no longer count, and the previous one has
+/// learned that it is none.
+const HANDOVER: Duration = Duration::from_millis(1_500);
+
 /// Which requests this host may send to a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Access {
@@ -25,17 +29,23 @@
 pub struct ColdStartLimiter {
     access: Access,
     sent: VecDeque<Instant>,
+    /// When this host may use the limit, if another one may have used it before.
+    starts_at: Option<Instant>,
 }
 
 impl Default for ColdStartLimiter {
     fn default() -> Self {
-        Self { access: Access::Open, sent: VecDeque::new() }
+        Self { access: Access::Open, sent: VecDeque::new(), starts_at: None }
     }
 }
 
 impl ColdStartLimiter {
-    /// Changes the access. Requests that were sent under a limit before still count.
-    pub fn set_access(&mut self, access: Access) {
+    /// Changes the access. Requests that were sent under a limit before still count. `after_other` tells that another host
+    /// may be the owner up to now, which is also the case if this host was not allowed to send before.
+    pub fn set_access(&mut self, access: Access, after_other: bool, now: Instant) {
+        if matches!(access, Access::Limited(_)) && (after_other || self.access == Access::Closed) {
+            self.starts_at = Some(now + HANDOVER);
+        }
         self.access = access;
     }
 
@@ -44,7 +54,10 @@
         let recent = |it: &&Instant| now.saturating_duration_since(**it) <= WINDOW;
         match self.access {
             Access::Open => true,
-            Access::Limited(limit) => self.sent.iter().filter(recent).count() < limit,
+            Access::Limited(limit) => {
+                self.starts_at.is_none_or(|it| it <= now)
+                    && self.sent.iter().filter(recent).count() < limit
+            }
             Access::Closed => false,
         }
     }
--- a/tests/relay/cold_start.rs
+++ b/tests/relay/cold_start.rs
@@ -20,7 +20,7 @@
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
     let mut cold_start = ColdStartLimiter::default();
-    cold_start.set_access(Access::Limited(2));
+    cold_start.set_access(Access::Limited(2), false, start);
     for ms in [0, 600] {
         assert!(cold_start.allows(at(ms)));
         cold_start.record(at(ms));
@@ -30,12 +30,39 @@
     assert!(cold_start.allows(at(1_001)));
     cold_start.record(at(1_001));
     assert!(!cold_start.allows(at(1_500)), "two requests within the last second");
-    cold_start.set_access(Access::Closed);
+    cold_start.set_access(Access::Closed, false, at(1_500));
     assert!(!cold_start.allows(at(9_000)));
-    cold_start.set_access(Access::Open);
+    cold_start.set_access(Access::Open, false, at(9_000));
     assert!(cold_start.allows(at(9_000)));
 }
 
+/// Guards against two hosts that send a target their whole rate in the same second, because one becomes the owner when the
+/// other one stops (review/4).
+#[test]
+fn limit_holds_over_change_of_owner() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut old = ColdStartLimiter::default();
+    let mut new = ColdStartLimiter::default();
+    old.set_access(Access::Limited(2), false, start);
+    new.set_access(Access::Closed, false, start);
+    for ms in [500, 990] {
+        assert!(old.allows(at(ms)));
+        old.record(at(ms));
+    }
+    old.set_access(Access::Closed, false, at(1_000));
+    new.set_access(Access::Limited(2), false, at(1_000));
+    assert!(!new.allows(at(1_000)) && !new.allows(at(1_990)));
+    // A later view does not start the wait anew.
+    new.set_access(Access::Limited(2), false, at(2_400));
+    assert!(new.allows(at(2_500)));
+    // A process that has just started does not know who was the owner.
+    let mut started = ColdStartLimiter::default();
+    started.set_access(Access::Limited(2), true, start);
+    assert!(!started.allows(at(1_000)));
+    assert!(started.allows(at(1_500)));
+}
+
 /// A relay and a target in a cold start, which is limited to 2 requests per second.
 async fn start_with_cold_target() -> (Harness, StubTarget) {
     let harness = Harness::start().await;
