--- a/src/control/poller.rs
+++ b/src/control/poller.rs
@@ -196,8 +196,8 @@
         others
     }
 
-    /// Records which hosts have failed in a round: those that returned an error, and those from which another one would
-    /// have been faster to get a response. Their connections may be silent for good, so they are closed.
+    /// Records which hosts have failed in a round: those that returned an error, and those that were late when another one
+    /// answered. The connections of the latter may be silent for good, so they are closed.
     fn record_round(
         &mut self,
         sent: &[(usize, Instant)],
