state: digest of the configuration

A copy of the configuration that differs from that of the control hosts under the same revision number shows in nothing: its polls are answered with "nothing new". Config::digest is equal for the configuration of the control hosts and a copy that has followed it to the same revision. It covers all but the log's clock and the operators' document.

The configuration is encoded straight into the hash, without a clone or a buffer. The functions for index versions move to a file of their own.

Tests: a copy that follows one change of each kind has the same digest after each of them; a change of any one part gives another digest; the digest of a fixed configuration is a known value, so that a dependence on the architecture or on the process shows.

--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -8,9 +8,11 @@
 mod change;
 mod claim;
 mod config;
+mod digest;
 mod label;
 mod suspect;
 mod tables;
+mod version;
 mod view;
 
 pub use change::{Change, ChangeId, Entry, Reply};
