state: property test of copies that follow random changes

Relays keep a copy of the configuration by applying only the changes that made a new revision.

After each change there is a new revision if and only if the configuration has changed.

Its smallest case is a suspect that is reported again 10 ms later: the change moves the expiry without a new revision.

control::StateMachine and control::History become public for it.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -30,7 +30,9 @@
 mod upkeep;
 
 pub use client::Client;
+pub use history::History;
 pub use host::{ClusterStatus, Host};
 pub use poller::{ConfigPoller, PollResponse, apply_update};
 pub use registry::Registry;
 pub use run::{run, serve};
+pub use state_machine::{ApplyResult, StateMachine};
--- a/tests/state/main.rs
+++ b/tests/state/main.rs
@@ -1,6 +1,7 @@
 //! The replicated state machine: conflicts, deduplication of changes, claims, index versions and the routing view.
 
 mod config;
+mod copy;
 mod digest;
 mod tables;
 mod view;
