state: a crash that extends a suspicion makes a new revision

A relay answered from an old configuration for ever: its updates no longer applied, or it held other suspects than the control hosts under the same revision number. Suspect for a target that is already recorded moved the expiry of the suspicion, but returned "unchanged", so the change was not sent to the copies. A copy then removed the suspect with a Tick at which the control hosts kept it, and was a revision ahead at the Tick that removed it there.

Evidence: copy::poll_suspect_again plays that sequence.

Suspect now returns whether the record is altered, expiry included. The other arms of apply_change were read as well: an unchanged announcement and a removal that removes nothing no longer touch the index versions. They found nothing to remove there before, since the versions are cleaned after each change of a target; now it is plain.

The number of revisions is bounded by the reports: a relay reports a crash of a target by a request once while it remembers the request, an owner once for each crash, and a request that has crashed two targets is no longer run. A report within the same millisecond of the log's clock makes no revision.

--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -194,7 +194,8 @@
         self.has_operator_label(kind, name, DRAIN_LABEL, "true")
     }
 
-    /// Applies a change and returns whether it altered the configuration. Claims and settlements never do.
+    /// Applies a change and returns whether it altered the configuration. Claims and settlements never do. Copies get only
+    /// the changes that did, so one that returns false or an error must leave everything but the clock as it was.
     fn apply_change(&mut self, change: &Change) -> Result<bool, Error> {
         match change {
             Change::SetLabel { object, key, value } => self.set_label(object, key, value),
@@ -215,7 +216,9 @@
                 let current =
                     self.targets.get(name).is_some_and(|it| it.incarnation == *incarnation);
                 let removed = current && self.targets.remove(name).is_some();
-                self.remove_superseded_versions();
+                if removed {
+                    self.remove_superseded_versions();
+                }
                 Ok(removed)
             }
             Change::Suspect { fingerprint, target } => Ok(self.record_crash(*fingerprint, target)),
@@ -323,10 +326,6 @@
             return Err(Error::new(Kind::Conflict, "a newer process uses this target name"));
         }
         self.check_holdings(&target.holdings)?;
-        for holding in &target.holdings {
-            let key = (holding.index.clone(), holding.version);
-            self.versions.entry(key).or_insert(Version { shards: holding.shards });
-        }
         let mut target = target.clone();
         if let Some(old) = self.targets.get(&target.name)
             && (old.incarnation, old.phase) == (target.incarnation, Phase::Leaving)
@@ -334,9 +333,16 @@
             // An announcement from before the leave may be committed after it, through another control host.
             target.phase = Phase::Leaving;
         }
-        let old = self.targets.insert(target.name.clone(), target.clone());
+        if self.targets.get(&target.name) == Some(&target) {
+            return Ok(false);
+        }
+        for holding in &target.holdings {
+            let key = (holding.index.clone(), holding.version);
+            self.versions.entry(key).or_insert(Version { shards: holding.shards });
+        }
+        self.targets.insert(target.name.clone(), target);
         self.remove_superseded_versions();
-        Ok(old.as_ref() != Some(&target))
+        Ok(true)
     }
 
     /// Marks a target as leaving. Returns whether it was in service.
--- a/src/state/suspect.rs
+++ b/src/state/suspect.rs
@@ -45,12 +45,14 @@
     }
 
     /// Records that a target crashed while it ran a request, and extends the record's expiry. Returns whether this
-    /// target was not recorded for the request before.
+    /// altered the record: copies get only changes that did, and an expiry that they do not know would end the suspicion
+    /// at another time there.
     pub(super) fn record_crash(&mut self, fingerprint: u64, target: &str) -> bool {
         let until_ms = self.now_ms + QUARANTINE_MS;
         let new_suspect = Suspect { targets: BTreeSet::new(), until_ms };
         let suspect = self.suspects.entry(fingerprint).or_insert(new_suspect);
+        let is_extended = suspect.until_ms != until_ms;
         suspect.until_ms = until_ms;
-        suspect.targets.insert(target.to_owned())
+        suspect.targets.insert(target.to_owned()) || is_extended
     }
 }
--- a/tests/state/config.rs
+++ b/tests/state/config.rs
@@ -112,6 +112,21 @@
     assert!(!fixture.tables.config.is_quarantined(7));
 }
 
+/// Guards against a crash that extends a suspicion without a new revision, so that copies never learn of it, and against
+/// a new revision for a report that alters nothing: several relays report the same crash.
+#[test]
+fn suspect_again() {
+    let mut fixture = Fixture::default();
+    let suspect = || Change::Suspect { fingerprint: 7, target: "a".into() };
+    fixture.accept(suspect());
+    fixture.accept(suspect());
+    assert_eq!(fixture.tables.config.revision, 1, "the same crash at the same time");
+    fixture.now_ms = 1_000;
+    fixture.accept(suspect());
+    assert_eq!(fixture.tables.config.revision, 2, "an extended suspicion");
+    assert_eq!(fixture.tables.config.suspects[&7].until_ms, 1_000 + QUARANTINE_MS);
+}
+
 /// Guards against a new revision, which every entry host would fetch, for a change that alters nothing.
 #[test]
 fn set_label_same_value() {
--- a/tests/state/copy.rs
+++ b/tests/state/copy.rs
@@ -126,6 +126,29 @@
     }
 }
 
+/// Guards against a relay that answers from an old configuration for ever. A second crash extended a suspicion without a
+/// new revision; the copy then removed the suspect with the first tick, at which the control hosts kept it, and was a
+/// revision ahead at the second: its updates did not follow.
+#[test]
+fn poll_suspect_again() {
+    let mut follow = Follow::new();
+    let suspect =
+        |fingerprint| Change::Suspect { fingerprint, target: format!("target-{fingerprint}") };
+    let changes = [
+        (0, suspect(1)),
+        (10, suspect(2)),
+        (1_000, suspect(1)),
+        (QUARANTINE_MS + 500, Change::Tick),
+        (QUARANTINE_MS + 1_500, Change::Tick),
+    ];
+    for (at_ms, change) in changes {
+        follow.clock_ms = START_MS + at_ms;
+        follow.commit(&change, Base::Missing, None);
+        follow.poll(0, false);
+    }
+    assert!(follow.config().suspects.is_empty());
+}
+
 fn name() -> impl Strategy<Value = String> {
     prop::sample::select(vec!["a", "a", "b", "c", "not valid"]).prop_map(String::from)
 }
