state: refuse route tables with version 0

A route table with version 0 was acknowledged and never took effect: version 0 stands for no table, at relays, which keep the table that they have resolved while the version is the same, and when the table is read back. Each time that it was sent it made a new revision, even if it was the same table. The property test of copies shows the latter: a table with version 0 that is committed twice under two ids.

Such a table is now refused while there is no other. Beside a table in force it is older and ignored, as before. A version that was in force under the old rule is replaced by any table with a version.

--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -284,6 +284,9 @@
             let message = format!("a different route table with version {current} is in force");
             return if same { Ok(false) } else { Err(Error::new(Kind::Conflict, message)) };
         }
+        if table.version == 0 {
+            return Err(Error::new(Kind::BadRequest, "version 0 stands for no route table"));
+        }
         table.check().map_err(|it| Error::new(Kind::BadRequest, it.to_string()))?;
         self.routes = table.clone();
         Ok(true)
--- a/tests/state/config.rs
+++ b/tests/state/config.rs
@@ -85,6 +85,19 @@
     assert_eq!(fixture.tables.config.routes.document, "first");
 }
 
+/// Guards against an acknowledged route table that never takes effect: version 0 stands for no table, also at relays, and
+/// each time that such a table was sent made a new revision, even if nothing changed.
+#[test]
+fn put_routes_version_zero() {
+    let mut fixture = Fixture::default();
+    for document in ["first", "first", "second"] {
+        let table = Table { document: document.to_owned(), ..Table::default() };
+        let reply = fixture.apply(Change::PutRoutes(Box::new(table)));
+        assert!(matches!(reply, Reply::Rejected(err) if err.kind == Kind::BadRequest));
+    }
+    assert_eq!(fixture.tables.config.revision, 0);
+}
+
 /// Guards against selectors that refer to a removed group.
 #[test]
 fn remove_group_in_use() {
