--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -194,7 +194,8 @@
         self.has_operator_label(kind, name, DRAIN_LABEL, "true")
     }
 
-    /// Applies a change and returns whether it altered the configuration. Claims and settlements never do.
+    /// Applies a change and returns whether it altered the configuration. Claims and settlements never do. Copies get only
+    /// the changes that did, so one that returns false or an error must leave everything but the clock as it was.
     fn apply_change(&mut self, change: &Change) -> Result<bool, Error> {
         match change {
             Change::SetLabel { object, key, value } => self.set_label(object, key, value),
@@ -215,7 +216,9 @@
                 let current =
                     self.targets.get(name).is_some_and(|it| it.incarnation == *incarnation);
                 let removed = current && self.targets.remove(name).is_some();
-                self.remove_superseded_versions();
+                if removed {
+                    self.remove_superseded_versions();
+                }
                 Ok(removed)
             }
             Change::Suspect { fingerprint, target } => Ok(self.record_crash(*fingerprint, target)),
@@ -281,6 +284,9 @@
             let message = format!("a different route table with version {current} is in force");
             return if same { Ok(false) } else { Err(Error::new(Kind::Conflict, message)) };
         }
+        if table.version == 0 {
+            return Err(Error::new(Kind::BadRequest, "version 0 stands for no route table"));
+        }
         table.check().map_err(|it| Error::new(Kind::BadRequest, it.to_string()))?;
         self.routes = table.clone();
         Ok(true)
@@ -323,10 +329,6 @@
             return Err(Error::new(Kind::Conflict, "a newer process uses this target name"));
         }
         self.check_holdings(&target.holdings)?;
-        for holding in &target.holdings {
-            let key = (holding.index.clone(), holding.version);
-            self.versions.entry(key).or_insert(Version { shards: holding.shards });
-        }
         let mut target = target.clone();
         if let Some(old) = self.targets.get(&target.name)
             && (old.incarnation, old.phase) == (target.incarnation, Phase::Leaving)
@@ -334,9 +336,16 @@
             // An announcement from before the leave may be committed after it, through another control host.
             target.phase = Phase::Leaving;
         }
-        let old = self.targets.insert(target.name.clone(), target.clone());
+        if self.targets.get(&target.name) == Some(&target) {
+            return Ok(false);
+        }
+        for holding in &target.holdings {
+            let key = (holding.index.clone(), holding.version);
+            self.versions.entry(key).or_insert(Version { shards: holding.shards });
+        }
+        self.targets.insert(target.name.clone(), target);
         self.remove_superseded_versions();
-        Ok(old.as_ref() != Some(&target))
+        Ok(true)
     }
 
     /// Marks a target as leaving. Returns whether it was in service.
@@ -349,61 +358,4 @@
         target.phase = Phase::Leaving;
         true
     }
-
-    /// Checks that each shard number is less than the number of shards, and that the latter agrees with the known
-    /// version.
-    fn check_holdings(&self, holdings: &[Holding]) -> Result<(), Error> {
-        for holding in holdings {
-            check_name(&holding.index)?;
-            if holding.shard >= holding.shards {
-                let message = format!(
-                    "shard {} does not exist in a version with {} shards",
-                    holding.shard, holding.shards
-                );
-                return Err(Error::new(Kind::BadRequest, message));
-            }
-            let key = (holding.index.clone(), holding.version);
-            let known = self.versions.get(&key).map_or(holding.shards, |it| it.shards);
-            if known != holding.shards {
-                let message = format!(
-                    "{}@{} has {known} shards, not {}",
-                    holding.index, holding.version, holding.shards
-                );
-                return Err(Error::new(Kind::BadRequest, message));
-            }
-        }
-        Ok(())
-    }
-
-    /// Removes each version that no target holds, if a newer version of the same index is complete, that is, targets
-    /// hold all its shards. Without a complete newer version, a version that no target holds stays known, so that its
-    /// lost shards are reported as missing.
-    fn remove_superseded_versions(&mut self) {
-        let mut held_shards: BTreeMap<(&str, u64), BTreeSet<u32>> = BTreeMap::new();
-        for holding in self.targets.values().flat_map(|it| &it.holdings) {
-            held_shards.entry((&holding.index, holding.version)).or_default().insert(holding.shard);
-        }
-        let superseded = |index: &str, version: u64| {
-            self.versions
-                .iter()
-                .filter(|((name, number), _)| name == index && *number > version)
-                .any(|((name, number), layout)| {
-                    let shards =
-                        held_shards.get(&(name.as_str(), *number)).map_or(0, BTreeSet::len);
-                    shards == layout.shards as usize
-                })
-        };
-        let old: Vec<_> = self
-            .versions
-            .keys()
-            .filter(|(index, version)| {
-                !held_shards.contains_key(&(index.as_str(), *version))
-                    && superseded(index, *version)
-            })
-            .cloned()
-            .collect();
-        for key in old {
-            self.versions.remove(&key);
-        }
-    }
 }
--- a/tests/state/config.rs
+++ b/tests/state/config.rs
@@ -85,6 +85,19 @@
     assert_eq!(fixture.tables.config.routes.document, "first");
 }
 
+/// Guards against an acknowledged route table that never takes effect: version 0 stands for no table, also at relays, and
+/// each time that such a table was sent made a new revision, even if nothing changed.
+#[test]
+fn put_routes_version_zero() {
+    let mut fixture = Fixture::default();
+    for document in ["first", "first", "second"] {
+        let table = Table { document: document.to_owned(), ..Table::default() };
+        let reply = fixture.apply(Change::PutRoutes(Box::new(table)));
+        assert!(matches!(reply, Reply::Rejected(err) if err.kind == Kind::BadRequest));
+    }
+    assert_eq!(fixture.tables.config.revision, 0);
+}
+
 /// Guards against selectors that refer to a removed group.
 #[test]
 fn remove_group_in_use() {
@@ -112,6 +125,21 @@
     assert!(!fixture.tables.config.is_quarantined(7));
 }
 
+/// Guards against a crash that extends a suspicion without a new revision, so that copies never learn of it, and against
+/// a new revision for a report that alters nothing: several relays report the same crash.
+#[test]
+fn suspect_again() {
+    let mut fixture = Fixture::default();
+    let suspect = || Change::Suspect { fingerprint: 7, target: "a".into() };
+    fixture.accept(suspect());
+    fixture.accept(suspect());
+    assert_eq!(fixture.tables.config.revision, 1, "the same crash at the same time");
+    fixture.now_ms = 1_000;
+    fixture.accept(suspect());
+    assert_eq!(fixture.tables.config.revision, 2, "an extended suspicion");
+    assert_eq!(fixture.tables.config.suspects[&7].until_ms, 1_000 + QUARANTINE_MS);
+}
+
 /// Guards against a new revision, which every entry host would fetch, for a change that alters nothing.
 #[test]
 fn set_label_same_value() {
