relay: end when an essential task has ended or is stuck

A relay whose task that follows the configuration had panicked stayed ready and answered from its last configuration for ever: the runtime catches the panic of a spawned task, and nothing looked at the task.

The essential tasks now run in supervise::Tasks. When one panics, returns or fails, the relay logs event=task_ended, stops like after SIGTERM, and ends with an error, so that it is started again. A watchdog beside the tasks counts ticks of one second without the end of a round of polls, and does the same after 10 ticks and one more for each four hosts that are known (event=task_stuck): a round asks silent control hosts one after the other and may end badly, which is no reason to end.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod settings;
 pub mod state;
 pub mod store;
+pub mod supervise;
 pub mod trace;
 pub mod wire;
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -9,6 +9,9 @@
     relay::{exchange::Outcome, request::Query},
 };
 
+/// The results of a round of polls.
+const POLL_RESULTS: [&str; 2] = ["ok", "failed"];
+
 pub(super) struct Metrics {
     answers: IntCounterVec,
     answer_time: HistogramVec,
@@ -84,10 +87,16 @@
     }
 
     pub(super) fn record_poll(&self, confirmed: bool) {
-        let result = if confirmed { "ok" } else { "failed" };
+        let [ok, failed] = POLL_RESULTS;
+        let result = if confirmed { ok } else { failed };
         self.polls.with_label_values(&[result]).inc();
     }
 
+    /// The number of rounds of polls that have ended, well or badly.
+    pub(super) fn poll_rounds(&self) -> u64 {
+        POLL_RESULTS.iter().map(|it| self.polls.with_label_values(&[*it]).get()).sum()
+    }
+
     pub(super) fn record_config_age(&self, age: Duration) {
         self.config_age.with_label_values::<&str>(&[]).observe(age.as_secs_f64());
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -45,7 +45,7 @@
 pub use directory::AddressQuery;
 pub use host::Host;
 pub use records::merge_records;
-pub use run::{create, run};
+pub use run::{create, run, run_with};
 pub use settings::{Headers, Settings};
 pub use split::SplitPicker;
 pub use typical::LatencyEstimate;
--- a/src/relay/stop.rs
+++ b/src/relay/stop.rs
@@ -34,12 +34,12 @@
 
 /// Marks this host as leaving and serves until callers have stopped using its address. Then closes connections and
 /// waits for running requests, and for connections on which a part of a request has arrived.
-pub(super) async fn run(host: &Arc<Host>) {
+pub(super) async fn run(host: &Arc<Host>, cause: &str) {
     let start = Instant::now();
     let grace = host.cfg.grace_period;
     host.start_leaving(start + grace * ANSWER_PERCENT / 100);
     host.submit_now.notify_one();
-    host.events.record(Event::new(Kind::Stopping, "signal"));
+    host.events.record(Event::new(Kind::Stopping, cause));
     sleep(host.cfg.address_ttl.min(grace * CLOSE_PERCENT / 100)).await;
     let accept_until = start + grace * ACCEPT_PERCENT / 100;
     let end = start + grace * EXIT_PERCENT / 100;
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -10,5 +10,6 @@
 mod responses;
 mod single;
 mod split;
+mod supervision;
 mod support;
 mod suspect;
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -444,17 +444,7 @@
         id: &str,
         request: hyper::http::request::Builder,
     ) -> (StatusCode, HeaderMap, Bytes) {
-        let stream = TcpStream::connect(self.addr).await.unwrap();
-        let (mut sender, conn) = client::handshake(TokioIo::new(stream)).await.unwrap();
-        tokio::spawn(conn);
-        let request = request
-            .header("host", "labels.example")
-            .header("request-id", id)
-            .header("deadline", "3000");
-        let request = request.body(Full::<Bytes>::default()).unwrap();
-        let response = sender.send_request(request).await.unwrap();
-        let (head, body) = response.into_parts();
-        (head.status, head.headers, body.collect().await.unwrap().to_bytes())
+        send_to(self.addr, id, request).await
     }
 
     pub async fn wait_until(&self, condition: impl Fn() -> bool) {
@@ -467,15 +457,49 @@
     }
 }
 
+/// Sends a GET request to a relay.
+pub async fn get_from(addr: SocketAddr, path: &str) -> (StatusCode, HeaderMap, Bytes) {
+    send_to(addr, "q-1", Request::get(path)).await
+}
+
+async fn send_to(
+    addr: SocketAddr,
+    id: &str,
+    request: hyper::http::request::Builder,
+) -> (StatusCode, HeaderMap, Bytes) {
+    let stream = TcpStream::connect(addr).await.unwrap();
+    let (mut sender, conn) = client::handshake(TokioIo::new(stream)).await.unwrap();
+    tokio::spawn(conn);
+    let request = request
+        .header("host", "labels.example")
+        .header("request-id", id)
+        .header("deadline", "3000");
+    let request = request.body(Full::<Bytes>::default()).unwrap();
+    let response = sender.send_request(request).await.unwrap();
+    let (head, body) = response.into_parts();
+    (head.status, head.headers, body.collect().await.unwrap().to_bytes())
+}
+
 async fn start_relay(
     name: &str,
     zone: &str,
     control: SocketAddr,
     change: impl FnOnce(&mut Settings),
 ) -> (SocketAddr, Arc<relay::Host>) {
+    let mut settings = settings(name, zone, control).await;
+    let listen = settings.listen;
+    change(&mut settings);
+    let relay = relay::create(settings);
+    let running = relay.clone();
+    tokio::spawn(async move { relay::run(running).await.expect("relay failed") });
+    (listen, relay)
+}
+
+/// The settings of a relay with addresses that no other relay uses.
+pub async fn settings(name: &str, zone: &str, control: SocketAddr) -> Settings {
     let (listen, listen_peers) = (unused_addr().await, unused_addr().await);
     let regions = [("near", "here"), ("beside", "here"), ("far", "there")];
-    let mut settings = Settings {
+    Settings {
         name: name.into(),
         zone: zone.into(),
         regions: regions.map(|(zone, region)| (zone.to_owned(), region.to_owned())).into(),
@@ -488,12 +512,7 @@
         retry_initial: 0,
         address_ttl: Duration::from_secs(1),
         grace_period: Duration::from_secs(2),
-    };
-    change(&mut settings);
-    let relay = relay::create(settings);
-    let running = relay.clone();
-    tokio::spawn(async move { relay::run(running).await.expect("relay failed") });
-    (listen, relay)
+    }
 }
 
 /// An address that no other relay of the tests uses. Each has a loopback IP address of its own, so that another test
--- /dev/null
+++ b/tests/supervise/main.rs
@@ -0,0 +1,108 @@
+//! Supervision: which tasks end a process, and when a task counts as stuck.
+
+use std::{
+    future::pending,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use gentianpass::supervise::{Failure, Tasks, Watched, max_round_ticks, watch};
+use tokio::time::{sleep, timeout};
+
+const TICK: Duration = Duration::from_millis(10);
+
+fn ended(task: &'static str, cause: &str) -> Failure {
+    Failure::Ended { task, cause: cause.into() }
+}
+
+async fn panics() {
+    panic!("fault {}", 7)
+}
+
+/// Guards against a process that goes on after the panic of a spawned task, which the runtime catches.
+#[tokio::test]
+async fn ended_panic() {
+    let mut tasks = Tasks::default();
+    tasks.spawn("hangs", pending::<()>());
+    tasks.spawn("panics", panics());
+    assert_eq!(tasks.ended().await, ended("panics", "panicked: fault 7"));
+}
+
+#[tokio::test]
+async fn ended_return() {
+    let mut tasks = Tasks::default();
+    tasks.spawn("hangs", pending::<()>());
+    tasks.spawn("returns", async {});
+    assert_eq!(tasks.ended().await, ended("returns", "returned"));
+}
+
+#[tokio::test]
+async fn ended_error() {
+    let mut tasks = Tasks::default();
+    tasks.spawn("fails", async { Err::<(), _>("no disk") });
+    assert_eq!(tasks.ended().await, ended("fails", "no disk"));
+}
+
+/// Guards against a process without essential tasks that ends at once, and against a wait that ends before its time.
+#[tokio::test]
+async fn ended_none() {
+    let mut tasks = Tasks::default();
+    assert!(timeout(TICK, tasks.ended()).await.is_err());
+    tasks.spawn("hangs", pending::<()>());
+    assert!(timeout(TICK, tasks.ended()).await.is_err());
+}
+
+/// Guards against a stop that waits for the wrong task, or loses the error of one that fails while it ends.
+#[tokio::test]
+async fn wait_named_task() {
+    let mut tasks = Tasks::default();
+    tasks.spawn("returns", async { sleep(TICK).await });
+    tasks.spawn("fails", async { Err::<(), _>("no disk") });
+    assert_eq!(tasks.wait("returns").await, Ok(()));
+    assert_eq!(tasks.wait("returns").await, Ok(()));
+    tasks.spawn("fails late", async {
+        sleep(TICK).await;
+        Err::<(), _>("no disk")
+    });
+    assert_eq!(tasks.wait("fails late").await, Err(ended("fails late", "no disk")));
+}
+
+#[test]
+fn tick_stuck() {
+    let mut watched = Watched::default();
+    let ticks = [0, 0, 1, 1, 1, 2, 2, 2, 2];
+    let stuck: Vec<_> = ticks.iter().map(|progress| watched.tick(*progress, 3)).collect();
+    assert_eq!(stuck, [false, false, false, false, false, false, false, false, true]);
+}
+
+/// Guards against a relay that ends because it reaches no control host: a round of polls sends one after the other, 200 ms
+/// apart, and ends 1.2 s after the last; the first one may be asked to wait for 1 s.
+#[test]
+fn max_round_ticks_outlasts_round() {
+    for hosts in 0..200_u64 {
+        let round_ms = 1_000 + 200 * hosts + 1_200 + 100;
+        let allowed_ms = u64::from(max_round_ticks(hosts as usize)) * 1_000;
+        assert!(allowed_ms > 2 * 1_000 + round_ms, "{hosts} control hosts: {allowed_ms} ms");
+    }
+}
+
+/// Guards against a process that goes on with a task that waits for ever, and against the end of one whose task works
+/// slowly.
+#[tokio::test]
+async fn watch_stuck() {
+    let rounds = AtomicU64::new(0);
+    let work = async {
+        for _ in 0..5 {
+            sleep(4 * TICK).await;
+            rounds.fetch_add(1, Ordering::Relaxed);
+        }
+        pending::<()>().await;
+    };
+    let watch = watch("works", TICK, || rounds.load(Ordering::Relaxed), || 20);
+    let failure = tokio::select! {
+        () = work => unreachable!(),
+        it = timeout(100 * 20 * TICK, watch) => it.expect("not noticed"),
+    };
+    assert!(matches!(failure, Failure::Stuck { task: "works", .. }), "{failure:?}");
+    assert_eq!(rounds.load(Ordering::Relaxed), 5);
+}
