relay: saturate limits and times that an operator may set

An operator's table may hold limits, timeouts and coverages up to the largest number. The sum of idle and header time overflowed: debug builds reset each connection ("attempt to add with overflow" in src/relay/server.rs, seen in endless_limits_and_times), release builds wrap it to less than the header time. The expected latency of a busy target exceeded the range of Duration and panicked in the request ("cannot convert float seconds to Duration", cost_endless_objective). The product in Shards::min_shards overflowed (min_shards_rounds_up), which in release builds may turn a huge share into one shard. All three tests failed before.

--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -183,6 +183,7 @@
     ) -> Delegation {
         let now = Instant::now();
         let left_ms = self.hard_deadline.saturating_duration_since(now).as_millis();
+        let partial_after = soft_deadline.saturating_duration_since(now);
         let forwarded = self.headers.iter().filter(|(name, _)| *name != names.deadline);
         let forwarded =
             forwarded.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()));
@@ -190,7 +191,7 @@
         Delegation {
             version: self.view.table.version,
             shards,
-            partial_after_us: soft_deadline.saturating_duration_since(now).as_micros() as u64,
+            partial_after_us: u64::try_from(partial_after.as_micros()).unwrap_or(u64::MAX),
             method: self.method.to_string(),
             uri: self.uri.to_string(),
             headers: forwarded.chain([deadline]).collect(),
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -82,7 +82,7 @@
     let limits = host.view().table.limits.clone();
     // hyper measures the time for reading a header from the end of the previous response, so the limit must include the
     // idle time.
-    let idle = Duration::from_millis(limits.idle_ms + limits.header_ms);
+    let idle = Duration::from_millis(limits.idle_ms.saturating_add(limits.header_ms));
     if !matches!(timeout(idle, stream.peek(&mut [0])).await, Ok(Ok(1))) {
         return;
     }
--- a/src/relay/typical.rs
+++ b/src/relay/typical.rs
@@ -14,6 +14,10 @@
 /// Lower bound of an estimate, in seconds. Steps are relative, so they would vanish near 0.
 const MIN_ESTIMATE_S: f64 = 0.000_5;
 
+/// Upper bound of an estimate, in seconds. Expected latencies are multiples of an estimate, which must not exceed the range
+/// of [`Duration`], whatever objective an operator has set.
+const MAX_ESTIMATE_S: f64 = 86_400.0;
+
 /// Streaming estimates of two quantiles. Each sample moves them by a small step.
 #[derive(Clone, Copy, Debug)]
 pub struct LatencyEstimate {
@@ -26,8 +30,8 @@
     pub fn new(objective: Duration) -> Self {
         let objective_s = objective.as_secs_f64();
         Self {
-            median_s: (objective_s / 10.0).max(MIN_ESTIMATE_S),
-            late_s: (objective_s / 4.0).max(MIN_ESTIMATE_S),
+            median_s: (objective_s / 10.0).clamp(MIN_ESTIMATE_S, MAX_ESTIMATE_S),
+            late_s: (objective_s / 4.0).clamp(MIN_ESTIMATE_S, MAX_ESTIMATE_S),
         }
     }
 
@@ -53,5 +57,5 @@
 /// `1 - quantile`. In equilibrium a share `quantile` of the samples is below the estimate.
 fn adjusted(estimate_s: f64, sample_s: f64, quantile: f64) -> f64 {
     let direction = if sample_s > estimate_s { quantile } else { quantile - 1.0 };
-    (estimate_s * (1.0 + STEP_RATIO * direction)).max(MIN_ESTIMATE_S)
+    (estimate_s * (1.0 + STEP_RATIO * direction)).clamp(MIN_ESTIMATE_S, MAX_ESTIMATE_S)
 }
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -101,7 +101,7 @@
     /// The minimum number of shards that an answer must cover: `min_coverage` rounded up, and at least 1.
     pub fn min_shards(&self) -> usize {
         let total = self.services.len() as u64;
-        let shards = (self.min_coverage * total).div_ceil(PPM_SCALE);
+        let shards = self.min_coverage.saturating_mul(total).div_ceil(PPM_SCALE);
         usize::try_from(shards.clamp(1, total.max(1))).unwrap_or(usize::MAX)
     }
 }
--- a/tests/relay/choice.rs
+++ b/tests/relay/choice.rs
@@ -93,3 +93,16 @@
     stats.record(Observation::Answered(1.0), now);
     assert!(!stats.is_down(now));
 }
+
+/// Guards against requests that fail because the cost of a busy target exceeds the range of durations. An operator may set
+/// any objective.
+#[test]
+fn cost_endless_objective() {
+    let now = Instant::now();
+    let median = LatencyEstimate::new(ms(u64::MAX)).median();
+    let mut stats = TargetStats::new(now);
+    (0..30).for_each(|_| stats.record(Observation::Answered(50.0), now));
+    (0..64).for_each(|_| stats.start_request(now));
+    assert!(stats.cost(median, 1, now) > ms(1_000));
+    assert!(!stats.is_stalled(median, now));
+}
--- a/tests/relay/single.rs
+++ b/tests/relay/single.rs
@@ -4,12 +4,13 @@
 
 use gentianpass::{
     relay::AddressQuery,
-    route::{Kind, Route},
-    state::{Change, Object, ObjectKind, Phase, Target},
+    route::{Kind, Limits, Route, Service, Table},
+    state::{Change, Object, ObjectKind, Phase, Reply, Target},
 };
 use hyper::{Request, StatusCode, header::RETRY_AFTER};
+use tokio::time::timeout;
 
-use crate::support::{Behaviour, Harness, StubTarget, record, single, target};
+use crate::support::{Behaviour, Harness, StubTarget, WAIT_TIMEOUT, record, single, target};
 
 /// A target with this behaviour in the relay's own zone, and a second one in another region that answers.
 async fn pair(kind: Kind, first: Behaviour) -> (Harness, StubTarget, StubTarget) {
@@ -267,3 +268,41 @@
     assert_eq!(harness.relay.addresses(&query("there")), None, "no host in a home region");
     assert_eq!(harness.relay.addresses(&query("here")), Some(vec![harness.addr]));
 }
+
+/// Guards against relays that close all connections of callers, or fail all requests, because an operator's table has
+/// limits and times that mean "none".
+#[tokio::test]
+async fn endless_limits_and_times() {
+    let harness = Harness::start().await;
+    let stub = StubTarget::start(Behaviour::Answer(record(1))).await;
+    harness.announce("a", "s", "near", stub.addr);
+    let route = Route {
+        timeout_ms: u64::MAX,
+        objective_ms: u64::MAX,
+        max_attempts: u32::MAX,
+        priority: u32::MAX,
+        ..single(Kind::Idempotent)
+    };
+    let limits = Limits {
+        header_bytes: u64::MAX,
+        body_bytes: u64::MAX,
+        header_ms: u64::MAX,
+        idle_ms: u64::MAX,
+    };
+    let service = Service { max_connections: u32::MAX, cold_millis_per_s: u64::MAX };
+    let table = Table {
+        version: 1,
+        document: String::new(),
+        routes: vec![route],
+        services: [("s".to_owned(), service)].into(),
+        limits,
+    };
+    table.check().unwrap();
+    let reply = harness.control.apply(Change::PutRoutes(Box::new(table)));
+    assert!(matches!(reply, Reply::Applied { .. }), "{reply:?}");
+    harness.wait_until(|| harness.relay.is_ready()).await;
+    for _ in 0..3 {
+        let answer = timeout(WAIT_TIMEOUT, harness.get("/one/x")).await;
+        assert_eq!(answer.expect("no answer").0, StatusCode::OK);
+    }
+}
--- a/tests/route/main.rs
+++ b/tests/route/main.rs
@@ -115,4 +115,7 @@
     assert_eq!(min_shards(36, 0.95), 35);
     assert_eq!(min_shards(10, 0.0), 1);
     assert_eq!(min_shards(10, 1.0), 10);
+    // A product that overflows must not make the share smaller.
+    assert_eq!(min_shards(2, 2f64.powi(63) / PPM_SCALE as f64), 2);
+    assert_eq!(min_shards(10, f64::MAX), 10);
 }
