control: start the sender of Raft messages again after it has ended

Each control host sends to another one by a task that lives as long as the process. After a panic of that task its queue was closed, and every further message to that host was dropped for good. The test send_after_panic makes the task panic by a deadline that cannot be represented; on the code before it failed with "tasks started after 2 messages, left: 1, right: 2". A closed queue is now replaced with a new one and a new task, and that is logged.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -31,6 +31,8 @@
 
 pub use client::Client;
 pub use host::{ClusterStatus, Host};
+pub use peer::{Peer, Peers};
 pub use poller::{ConfigPoller, PollResponse, apply_update};
+pub use raft_transport::RaftTransport;
 pub use registry::Registry;
 pub use run::{run, serve};
--- a/src/control/raft_transport.rs
+++ b/src/control/raft_transport.rs
@@ -41,15 +41,19 @@
         Self { runtime, own, call_timeout, queues: HashMap::new() }
     }
 
-    /// Queues a message for the host at `addr`, or drops it if the queue is full.
+    /// Queues a message for the host at `addr`, or drops it if the queue is full. The task that sends is started with the
+    /// first message, and again if it has ended: otherwise this host would never again hear from the other one.
     pub fn send(&mut self, addr: SocketAddr, peer: impl FnOnce() -> Arc<Peer>, message: Message) {
-        let (own, call_timeout) = (self.own, self.call_timeout);
-        let queue = self.queues.entry(addr).or_insert_with(|| {
+        if self.queues.get(&addr).is_none_or(Sender::is_closed) {
             let (tx, rx) = channel(QUEUE_CAPACITY);
-            self.runtime.spawn(run_sender(peer(), own, call_timeout, rx));
-            tx
-        });
-        let _ = queue.try_send(message);
+            self.runtime.spawn(run_sender(peer(), self.own, self.call_timeout, rx));
+            if self.queues.insert(addr, tx).is_some() {
+                log::error!(
+                    "event=task_ended task=raft_sender peer={addr} cause=\"started again\""
+                );
+            }
+        }
+        let _ = self.queues[&addr].try_send(message);
     }
 }
 
