control: a poller can be told that the answers of a control host are wrong

A host that polls has no way to leave a control host that answers in time, but with content that contradicts itself.

distrust_current counts the host that answered last as failed: the next poll goes to another one that works, and the host is preferred again only after it has answered a probe, 2 s later at the earliest. prefer_first no longer returns to the first host of the list when none is known to work: it would be the distrusted one.

Test: polls::distrusted_host_is_avoided_until_probe, new.

--- a/src/control/poller.rs
+++ b/src/control/poller.rs
@@ -109,12 +109,26 @@
         self.current_host = 0;
     }
 
-    /// Prefers the first control hosts in the list from now on: returns to the first one that works, and asks those
-    /// before it from time to time whether they do. A host is returned to only after it has answered.
+    /// Prefers the first control hosts in the list from now on: returns to the first one that works, or else to the first
+    /// one that has not failed, and asks those before it from time to time whether they work. A host is returned to only
+    /// after it has answered.
     pub fn prefer_first(&mut self) {
         self.is_ordered = true;
-        let works = |it: &Candidate| it.health == Health::Works;
-        self.current_host = self.candidates.iter().position(works).unwrap_or(0);
+        let first = (0..self.candidates.len()).min_by_key(|it| self.candidates[*it].health);
+        self.current_host = first.unwrap_or(0);
+    }
+
+    /// Counts the control host that answered last as failed, because its answers contradict each other or those of other
+    /// hosts. The next poll goes to another one that works, if any, and this one is preferred again only after it has
+    /// answered a probe.
+    pub fn distrust_current(&mut self) {
+        let now = Instant::now();
+        let current = self.current_host % self.candidates.len();
+        let candidate = &mut self.candidates[current];
+        log::warn!("event=control_host_distrusted control_host={}", candidate.addr);
+        (candidate.health, candidate.probed_at) = (Health::Failed(now), Some(now));
+        candidate.client.disconnect();
+        self.current_host = self.others(current).first().copied().unwrap_or(current);
     }
 
     /// The address of the current control host: the one that last answered, or the next one after a failed round.
--- a/tests/control/polls.rs
+++ b/tests/control/polls.rs
@@ -232,3 +232,32 @@
     println!("answered after {took:?}");
     assert!(took < APPLY, "took {took:?}");
 }
+
+/// Guards against a poller that goes on to ask a control host whose answers are wrong, or that returns to it at once
+/// because it is a preferred one.
+#[tokio::test(flavor = "multi_thread")]
+async fn distrusted_host_is_avoided_until_probe() {
+    const WAIT: Duration = Duration::from_millis(100);
+    const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+    let cluster = Cluster::start("");
+    cluster.set_label(0, "caller", "x").await;
+    let (first, second) = (cluster.hosts[0].rpc, cluster.hosts[1].rpc);
+    let mut poller = ConfigPoller::new(&[first, second], "entry".into(), 1, WAIT);
+    let poll_now = Notify::new();
+    poller.prefer_first();
+    poller.next_update(0, &poll_now).await.expect("confirmed");
+    assert_eq!(poller.current_addr(), first);
+    let distrusted_at = Instant::now();
+    poller.distrust_current();
+    while distrusted_at.elapsed() < PROBE_INTERVAL - 2 * WAIT {
+        poller.prefer_first();
+        poller.next_update(0, &poll_now).await.expect("confirmed");
+        assert_eq!(poller.current_addr(), second, "after {:?}", distrusted_at.elapsed());
+    }
+    wait_until("the preferred host is asked again", async || {
+        poller.next_update(0, &poll_now).await.expect("confirmed");
+        (poller.current_addr() == first).then_some(())
+    })
+    .await;
+    assert!(distrusted_at.elapsed() >= PROBE_INTERVAL, "after {:?}", distrusted_at.elapsed());
+}
