control: log lines tell the content of orders, and what was in force after one

- order_refused names the order, its version and the digest of its document (xxh3_64).
The cause of a conflict names the digests of the sent and of the stored document and where their contents differ first, as a JSON pointer, or that only the form differs.
Spaces, the order of fields and the notation of numbers are form.
- order_acknowledged names version, digest, the version that the control host knew before (known_before), the version in force after the order (in_force) and the revision. in_force above version: without effect. known_before = in_force = version: acknowledged again.
The line is written once this host has applied the revision, 500 ms later at most; the acknowledgement does not wait for it.

No order is decided otherwise than before.

Test: document::document_difference_*, new.

--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -15,7 +15,7 @@
     error::{Error, Kind, Result},
     event::{Event, Kind as EventKind},
     route,
-    state::{Change, DRAIN_LABEL, Object, ObjectKind, Phase, Reply, Target},
+    state::{Change, DRAIN_LABEL, Object, ObjectKind, Phase, Reply, Revision, Target},
     wire::control::{ProcessId, Submit},
 };
 
@@ -137,12 +137,25 @@
         }
     }
 
-    /// Checks and commits a route table.
-    pub async fn put_routes(&self, table: route::Table) -> Result<()> {
+    /// Checks and commits a route table. Returns the revision of the configuration with which it is acknowledged.
+    pub async fn put_routes(&self, table: route::Table) -> Result<Revision> {
         table.check().map_err(|it| Error::new(Kind::BadRequest, it.to_string()))?;
         self.commit(None, Change::PutRoutes(Box::new(table))).await
     }
 
+    /// The version of the route table that this host knows, without a read barrier.
+    pub fn known_routes_version(&self) -> u64 {
+        self.host.with_tables(|it| it.config.routes.version)
+    }
+
+    /// The version of the route table in force at a revision or after it. None if this host does not learn of the
+    /// revision in time.
+    pub async fn routes_version_since(&self, revision: Revision) -> Option<u64> {
+        self.host.wait_for_revision(revision).await;
+        self.host
+            .with_tables(|it| (it.config.revision >= revision).then_some(it.config.routes.version))
+    }
+
     /// Returns the current route table by a linearizable read.
     pub async fn routes(&self) -> Result<route::Table> {
         self.host.read_barrier(Vec::new()).await?;
@@ -165,7 +178,7 @@
                 // Another operator's change was committed first. The drain label does not depend on it, so try again on
                 // the new revision.
                 Err(err) if err.kind == Kind::Conflict && Instant::now() < end => {}
-                result => return result,
+                result => return result.map(drop),
             }
         }
     }
@@ -204,8 +217,9 @@
         Ok(())
     }
 
-    /// Commits a change, and retries under the same id while there is no leader or the leader changes.
-    async fn commit(&self, base: Option<u64>, change: Change) -> Result<()> {
+    /// Commits a change, and retries under the same id while there is no leader or the leader changes. Returns the
+    /// revision after the change.
+    async fn commit(&self, base: Option<u64>, change: Change) -> Result<Revision> {
         let submit = Submit { id: random(), base, change };
         let end = Instant::now() + self.commit_timeout;
         loop {
@@ -215,7 +229,11 @@
                     let message = format!("the current operator revision is {current}");
                     return Err(Error::new(Kind::Conflict, message));
                 }
-                Ok(_) => return Ok(()),
+                Ok(Reply::Applied { revision }) => return Ok(revision),
+                Ok(other) => {
+                    let message = format!("unexpected reply: {other:?}");
+                    return Err(Error::new(Kind::Internal, message));
+                }
                 Err(err) if err.kind != Kind::NoQuorum => return Err(err),
                 Err(err) if Instant::now() + RETRY_DELAY >= end => return Err(err),
                 Err(_) => tokio::time::sleep(RETRY_DELAY).await,
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -2,10 +2,12 @@
 //! decides which table is the newest.
 
 mod check;
+mod document;
 mod index;
 mod patch;
 
 pub use check::TableError;
+pub use document::{document_difference, document_digest};
 pub use index::Index;
 pub use patch::Patch;
 
@@ -140,6 +142,19 @@
     pub fn without_document(&self) -> Self {
         Self { document: String::new(), ..self.clone() }
     }
+
+    /// Describes, for operators and logs, how this table differs from the one that is stored under its version.
+    pub fn describe_conflict(&self, stored: &Self) -> String {
+        let difference = document_difference(&self.document, &stored.document);
+        format!(
+            "a different route table with version {} is in force: sent_digest={:016x} stored_digest={:016x} \
+             differs_at={}",
+            self.version,
+            document_digest(&self.document),
+            document_digest(&stored.document),
+            difference.as_deref().unwrap_or("none (only the form differs)")
+        )
+    }
 }
 
 impl Route {
--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -278,7 +278,7 @@
         }
         if table.version == current && current > 0 {
             let same = *table == self.routes;
-            let message = format!("a different route table with version {current} is in force");
+            let message = table.describe_conflict(&self.routes);
             return if same { Ok(false) } else { Err(Error::new(Kind::Conflict, message)) };
         }
         table.check().map_err(|it| Error::new(Kind::BadRequest, it.to_string()))?;
--- a/tests/route/main.rs
+++ b/tests/route/main.rs
@@ -1,5 +1,6 @@
 //! Routing tables: validation, and the lookup of the route for a request.
 
+mod document;
 mod patch;
 
 use std::collections::BTreeMap;
