state: an acknowledged order is acknowledged again in any form

What callers would see: an order that was acknowledged gets 409 when it arrives again with its fields in another order, other spaces, or numbers written in another way.

Cause: put_routes compared the operators' documents byte by byte.

Change: the documents are compared as JSON values, numbers by value and integers exactly. Fields that the product does not use count, as does the order of elements in lists; the decoded routes must be the same as well. A document that is not JSON equals an identical text only. The document that came first stays and is read back.

Evidence, before: operators::acknowledged_routes_are_acknowledged_again "host 0, {"services":[{"coldStartS":3,...: Rejected(... differs_at=none (only the form differs))", the same in resent_routes_are_acknowledged_without_leader (the acknowledgement is lost with the leader), "one content, two replies" in concurrent_routes_of_one_version (two orders of one version beside a copy of the first one under another id), and document::put_routes_other_form. Other content stays refused and is not obeyed in these tests.

--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -143,17 +143,28 @@
         Self { document: String::new(), ..self.clone() }
     }
 
-    /// Describes, for operators and logs, how this table differs from the one that is stored under its version.
-    pub fn describe_conflict(&self, stored: &Self) -> String {
-        let difference = document_difference(&self.document, &stored.document);
-        format!(
+    /// Describes how this table differs from the one that is stored under its version; none if they are the same. Documents
+    /// are compared by content: an operator may send an order again in another form.
+    pub fn conflict_with(&self, stored: &Self) -> Option<String> {
+        let is_same = |one: &Self, other: &Self| {
+            (&one.routes, &one.services, &one.limits)
+                == (&other.routes, &other.services, &other.limits)
+        };
+        let in_document = document_difference(&self.document, &stored.document);
+        let difference = match in_document {
+            Some(path) => path,
+            None if is_same(self, stored) => return None,
+            None => {
+                "none (the documents are the same, the routes decoded from them are not)".into()
+            }
+        };
+        Some(format!(
             "a different route table with version {} is in force: sent_digest={:016x} stored_digest={:016x} \
-             differs_at={}",
+             differs_at={difference}",
             self.version,
             document_digest(&self.document),
             document_digest(&stored.document),
-            difference.as_deref().unwrap_or("none (only the form differs)")
-        )
+        ))
     }
 }
 
--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -270,16 +270,16 @@
     }
 
     /// Replaces the route table. The table with the highest version is in force: an older one is ignored, and the
-    /// version in force is accepted again only if the table is the same. Version 0 stands for no table.
+    /// version in force is accepted again only if the table and the content of its document are the same; the document that
+    /// came first stays. Version 0 stands for no table.
     fn put_routes(&mut self, table: &route::Table) -> Result<bool, Error> {
         let current = self.routes.version;
         if table.version < current {
             return Ok(false);
         }
         if table.version == current && current > 0 {
-            let same = *table == self.routes;
-            let message = table.describe_conflict(&self.routes);
-            return if same { Ok(false) } else { Err(Error::new(Kind::Conflict, message)) };
+            let conflict = |it| Err(Error::new(Kind::Conflict, it));
+            return table.conflict_with(&self.routes).map_or(Ok(false), conflict);
         }
         table.check().map_err(|it| Error::new(Kind::BadRequest, it.to_string()))?;
         self.routes = table.clone();
--- a/tests/control/operators.rs
+++ b/tests/control/operators.rs
@@ -1,10 +1,17 @@
 //! Changes by operators: conflicts, resends under the same id, and rejected requests.
 
-use gentianpass::wire::MAX_BODY_BYTES;
+use std::{collections::BTreeMap, time::Duration};
+
+use gentianpass::{
+    error::Kind,
+    route::{Kind as RouteKind, Limits, Route, Service, Table, To},
+    state::{Change, Reply},
+    wire::{MAX_BODY_BYTES, control::Update},
+};
 use hyper::Method;
 use uuid::Uuid;
 
-use crate::cluster::{Cluster, label_edit, label_value};
+use crate::cluster::{Cluster, label_edit, label_value, poll, submit};
 
 /// Guards against two concurrent changes on the same base revision that are both accepted: one operator's change would
 /// overwrite the other's unseen.
@@ -82,3 +89,115 @@
     let uri: Uri = format!("http://{}/v1/state", cluster.hosts[0].http).parse().expect("uri");
     client.get(uri).await.expect("answer").status().as_u16()
 }
+
+/// A route table with one route. `document` is what the operator sent.
+fn routes(version: u64, document: &str, timeout_ms: u64) -> Change {
+    let route = Route {
+        name: "r".into(),
+        host: "labels.example".into(),
+        prefix: "/r/".into(),
+        kind: RouteKind::Idempotent,
+        timeout_ms,
+        objective_ms: 100,
+        priority: 1,
+        max_attempts: 2,
+        homes: Vec::new(),
+        to: To::Service("s".into()),
+    };
+    let services = BTreeMap::from([("s".to_owned(), Service::default())]);
+    let (document, limits) = (document.to_owned(), Limits::default());
+    Change::PutRoutes(Box::new(Table { version, document, routes: vec![route], services, limits }))
+}
+
+const DOCUMENT: &str = r#"{"version":7,"services":[{"name":"s","coldStartS":3}]}"#;
+
+/// The same content in other forms: fields in another order, other spaces, numbers written in another way.
+const OTHER_FORMS: [&str; 4] = [
+    r#"{"services":[{"coldStartS":3,"name":"s"}],"version":7}"#,
+    "{ \"version\" : 7,\n\"services\": [{\"name\":\"s\", \"coldStartS\":3}]}\n",
+    r#"{"version":7,"services":[{"name":"s","coldStartS":3.0}]}"#,
+    r#"{"version":7e0,"services":[{"name":"\u0073","coldStartS":0.3e1}]}"#,
+];
+
+/// Sends an order to a host under a new id.
+async fn order(cluster: &Cluster, host: usize, change: &Change) -> Reply {
+    submit(&cluster.client(&[host]), change.clone()).await.expect("reply")
+}
+
+/// Fails unless all hosts acknowledge the order in each form, and refuse other content of its version.
+async fn assert_held(cluster: &Cluster, hosts: &[usize]) {
+    for host in hosts {
+        for form in [&[DOCUMENT], &OTHER_FORMS[..]].concat() {
+            let reply = order(cluster, *host, &routes(7, form, 500)).await;
+            assert!(matches!(reply, Reply::Applied { .. }), "host {host}, {form}: {reply:?}");
+        }
+        let other_field = DOCUMENT.replace(":3}", ":4}");
+        for other in [routes(7, &other_field, 500), routes(7, DOCUMENT, 501)] {
+            let reply = order(cluster, *host, &other).await;
+            assert!(
+                matches!(&reply, Reply::Rejected(it) if it.kind == Kind::Conflict),
+                "{reply:?}"
+            );
+        }
+        let full = poll(&cluster.client(&[*host]), "entry", u64::MAX).await.expect("answer");
+        let Update::Config(full) = full else { panic!("{full:?}") };
+        assert_eq!(full.routes.routes[0].timeout_ms, 500, "host {host}");
+    }
+}
+
+/// Guards against an order that was acknowledged and is refused when it arrives again in another form, at any control
+/// host, also after all have restarted; and against other content under its version that is acknowledged or obeyed.
+#[tokio::test(flavor = "multi_thread")]
+async fn acknowledged_routes_are_acknowledged_again() {
+    let mut cluster = Cluster::start("");
+    cluster.wait_for_leader(0).await;
+    let reply = order(&cluster, 0, &routes(7, DOCUMENT, 500)).await;
+    assert!(matches!(reply, Reply::Applied { .. }), "{reply:?}");
+    assert_held(&cluster, &[0, 1, 2]).await;
+    (0..3).for_each(|i| cluster.kill(i));
+    (0..3).for_each(|i| cluster.spawn(i));
+    cluster.wait_for_leader(0).await;
+    assert_held(&cluster, &[0, 1, 2]).await;
+}
+
+/// Guards against an order that is refused when it is sent again under another id because its acknowledgement was lost,
+/// here together with the leader.
+#[tokio::test(flavor = "multi_thread")]
+async fn resent_routes_are_acknowledged_without_leader() {
+    let mut cluster = Cluster::start("");
+    let leader = cluster.wait_for_leader(0).await;
+    let others = [(leader + 1) % 3, (leader + 2) % 3];
+    let client = cluster.client(&[leader]);
+    let first = submit(&client, routes(7, DOCUMENT, 500));
+    // The order is abandoned soon after it was sent, with or without its acknowledgement.
+    let _ = tokio::time::timeout(Duration::from_millis(20), first).await;
+    cluster.kill(leader);
+    let reply = order(&cluster, others[0], &routes(7, OTHER_FORMS[0], 500)).await;
+    assert!(matches!(reply, Reply::Applied { .. }), "{reply:?}");
+    assert_held(&cluster, &others).await;
+}
+
+/// Guards against two orders of one version at the same moment that are both acknowledged although their content differs,
+/// and against an order that is refused because its own first copy is being committed.
+#[tokio::test(flavor = "multi_thread")]
+async fn concurrent_routes_of_one_version() {
+    let cluster = Cluster::start("");
+    cluster.wait_for_leader(0).await;
+    for version in 1..=10 {
+        let (even, odd) = (routes(version, DOCUMENT, 500), routes(version, DOCUMENT, 501));
+        let again = routes(version, OTHER_FORMS[0], 500);
+        let (first, other, second) = tokio::join!(
+            order(&cluster, 0, &even),
+            order(&cluster, 1, &odd),
+            order(&cluster, 2, &again)
+        );
+        let accepted = |it: &Reply| matches!(it, Reply::Applied { .. });
+        let all = format!("{first:?} {other:?} {second:?}");
+        assert_eq!(accepted(&first), accepted(&second), "one content, two replies: {all}");
+        assert_ne!(accepted(&first), accepted(&other), "two contents: {all}");
+        let full = poll(&cluster.client(&[0]), "entry", u64::MAX).await.expect("answer");
+        let Update::Config(full) = full else { panic!("{full:?}") };
+        let expected = if accepted(&first) { 500 } else { 501 };
+        assert_eq!(full.routes.routes[0].timeout_ms, expected, "{all}");
+    }
+}
--- a/tests/route/document.rs
+++ b/tests/route/document.rs
@@ -1,6 +1,10 @@
 //! Comparison of operators' documents by their content.
 
-use gentianpass::route::document_difference;
+use gentianpass::{
+    error::Kind,
+    route::{Table, document_difference},
+    state::{Change, Config},
+};
 
 const DOCUMENT: &str =
     r#"{"version":7,"routes":[{"name":"r","share":0.25,"max":1000}],"note":null}"#;
@@ -62,3 +66,22 @@
     let path = document_difference(&document, "{}").expect("different");
     assert!(path.len() <= 200, "{} bytes", path.len());
 }
+
+/// Guards against an order that is refused because it arrives again in another form, and against a document that is read
+/// back in another form than the first one.
+#[test]
+fn put_routes_other_form() {
+    let mut config = Config::default();
+    let table = |document: &str| {
+        let document = document.to_owned();
+        Change::PutRoutes(Box::new(Table { version: 7, document, ..Table::default() }))
+    };
+    config.apply(&table(DOCUMENT), 0).expect("accepted");
+    let before = config.clone();
+    config.apply(&table(&DOCUMENT.replace(',', " , ")), 0).expect("acknowledged again");
+    assert_eq!(config, before, "nothing changes");
+    let other = config.apply(&table(&DOCUMENT.replace("0.25", "0.5")), 0).expect_err("refused");
+    assert_eq!(other.kind, Kind::Conflict);
+    assert!(other.message.contains("differs_at=/routes/0/share"), "{}", other.message);
+    assert_eq!(config, before, "nothing changes");
+}
