control: a poller keeps the control hosts that it knew when a list names others

What callers would see: a relay answers from an old configuration for good, although control hosts work that its settings name or that it has polled before.

Cause: replace_hosts replaced the whole list by what one control host answered. That is not confirmed by a quorum: a host that is catching up may name members of long ago which are all gone, and nothing led back.

Change: hosts that leave the list stay candidates, after the listed ones of the same health: for 60 s since they were listed or have answered, 8 at most, those of the settings always. They age only when a new list comes, so none is dropped while nobody answers. Their connections are closed unless they answer. All candidates are asked within 1 s after the first one was late, however many there are. A host that is not known to work no longer gets the whole wait of a poll: it delayed the first answer after a start by 1 s. A host that is probed is not asked twice in a round.

A distrusted host is asked within the probe interval only if all others have failed.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,6 +10,7 @@
 //! also the heartbeat of the polling process.
 
 mod actions;
+mod candidates;
 mod client;
 mod confirm;
 mod driver;
@@ -29,6 +30,7 @@
 mod state_machine;
 mod upkeep;
 
+pub use candidates::{Candidates, Round};
 pub use client::Client;
 pub use host::{ClusterStatus, Host};
 pub use poller::{ConfigPoller, PollResponse, apply_update};
--- a/src/control/poller.rs
+++ b/src/control/poller.rs
@@ -2,15 +2,20 @@
 //! applies their updates to a local copy of the configuration.
 
 use std::{
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use futures::{StreamExt, stream::FuturesUnordered};
+use rand::random;
 use tokio::sync::Notify;
 
 use crate::{
-    control::Client,
+    control::{
+        Client,
+        candidates::{Candidates, Round},
+    },
     error::{Error, Kind, Result},
     state::{Change, Config, Revision},
     wire::control::{Poll, Update},
@@ -21,55 +26,16 @@
 /// old for seconds.
 const LATE_AFTER: Duration = Duration::from_millis(200);
 
-/// How often a preferred control host that does not work is asked whether it does.
-const PROBE_INTERVAL: Duration = Duration::from_secs(2);
-
-/// What is known of a control host from its last poll.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Health {
-    Works,
-    /// It was not polled yet.
-    Unknown,
-    /// It failed to answer in time.
-    Failed(Instant),
-}
-
-/// A control host that can be polled.
-struct Candidate {
-    addr: SocketAddr,
-    client: Client,
-    health: Health,
-    probed_at: Option<Instant>,
-}
-
-impl Candidate {
-    fn new(addr: SocketAddr) -> Self {
-        Self { addr, client: Client::new(vec![addr]), health: Health::Unknown, probed_at: None }
-    }
-
-    /// Logs the first failure since the last response only, so that a host that is gone does not fill the log.
-    fn record_failure(&mut self, cause: &str) {
-        if !matches!(self.health, Health::Failed(_)) {
-            log::info!("event=poll_failed control_host={} cause={cause:?}", self.addr);
-        }
-        self.health = Health::Failed(Instant::now());
-    }
-
-    fn record_response(&mut self, took: Duration) {
-        if matches!(self.health, Health::Failed(_)) {
-            let took_ms = took.as_millis();
-            log::info!("event=poll_answered control_host={} took_ms={took_ms}", self.addr);
-        }
-        self.health = Health::Works;
-    }
-}
+/// All control hosts have been polled this long after the first one was late, however many there are: the polls follow each
+/// other faster if they are more than a few.
+const MAX_ROUND_DELAY: Duration = Duration::from_secs(1);
 
 /// Polls a preferred control host, and fails over to the others.
 pub struct ConfigPoller {
-    candidates: Vec<Candidate>,
-    /// Whether the candidates are in order of preference.
-    is_ordered: bool,
-    current_host: usize,
+    candidates: Candidates,
+    /// Clients of the control hosts that are asked. Hosts that are not listed have none between two rounds, except for
+    /// the current one, so that their connections are closed.
+    clients: HashMap<SocketAddr, Client>,
     node: String,
     incarnation: u64,
     wait: Duration,
@@ -82,58 +48,55 @@
     pub sent_at: Instant,
     /// The changes since the polled revision, or the full configuration.
     pub update: Update,
-    host: usize,
+    host: SocketAddr,
 }
 
 impl ConfigPoller {
     /// Creates a poller for the process `incarnation` of the host `node`. A poll waits at most `wait` for a newer
     /// revision.
     pub fn new(hosts: &[SocketAddr], node: String, incarnation: u64, wait: Duration) -> Self {
-        let candidates = hosts.iter().copied().map(Candidate::new).collect();
-        let current_host = rand::random::<u16>() as usize;
-        Self { candidates, is_ordered: false, current_host, node, incarnation, wait }
+        let candidates = Candidates::new(hosts, random::<u16>().into(), Instant::now());
+        Self { candidates, clients: HashMap::new(), node, incarnation, wait }
     }
 
     /// Replaces the list of control hosts, the preferred ones first. Connections to hosts that stay in the list are
-    /// kept. An empty list is ignored.
+    /// kept. Hosts that leave the list are asked after all others for some time, those of the settings always: the list
+    /// comes from one control host and may be outdated. An empty list is ignored.
     pub fn replace_hosts(&mut self, hosts: &[SocketAddr]) {
-        if hosts.is_empty() || hosts.iter().eq(self.candidates.iter().map(|it| &it.addr)) {
-            return;
-        }
-        let mut known = std::mem::take(&mut self.candidates);
-        for host in hosts {
-            let at = known.iter().position(|it| it.addr == *host);
-            let candidate = at.map(|it| known.swap_remove(it));
-            self.candidates.push(candidate.unwrap_or_else(|| Candidate::new(*host)));
+        if self.candidates.replace(hosts, Instant::now()) {
+            let join = |it: Vec<SocketAddr>| {
+                it.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
+            };
+            log::info!(
+                "event=control_hosts_listed hosts={} others={}",
+                join(self.candidates.listed().collect()),
+                join(self.candidates.unlisted().collect())
+            );
         }
-        self.current_host = 0;
     }
 
     /// Prefers the first control hosts in the list from now on: returns to the first one that works, or else to the first
     /// one that has not failed, and asks those before it from time to time whether they work. A host is returned to only
     /// after it has answered.
     pub fn prefer_first(&mut self) {
-        self.is_ordered = true;
-        let first = (0..self.candidates.len()).min_by_key(|it| self.candidates[*it].health);
-        self.current_host = first.unwrap_or(0);
+        self.candidates.prefer_first();
     }
 
     /// Counts the control host that answered last as failed, because its answers contradict each other or those of other
     /// hosts. The next poll goes to another one that works, if any, and this one is preferred again only after it has
     /// answered a probe.
     pub fn distrust_current(&mut self) {
-        let now = Instant::now();
-        let current = self.current_host % self.candidates.len();
-        let candidate = &mut self.candidates[current];
-        log::warn!("event=control_host_distrusted control_host={}", candidate.addr);
-        (candidate.health, candidate.probed_at) = (Health::Failed(now), Some(now));
-        candidate.client.disconnect();
-        self.current_host = self.others(current).first().copied().unwrap_or(current);
+        let addr = self.current_addr();
+        log::warn!("event=control_host_distrusted control_host={addr}");
+        self.candidates.distrust_current(Instant::now());
+        if let Some(client) = self.clients.get(&addr) {
+            client.disconnect();
+        }
     }
 
     /// The address of the current control host: the one that last answered, or the next one after a failed round.
     pub fn current_addr(&self) -> SocketAddr {
-        self.candidates[self.current_host % self.candidates.len()].addr
+        self.candidates.current()
     }
 
     /// Polls the current control host. As long as there is no response, the next one is polled as well when those polled
@@ -144,23 +107,23 @@
         revision: Revision,
         poll_now: &Notify,
     ) -> Result<PollResponse> {
-        let current = self.current_host % self.candidates.len();
-        let probed = self.next_probe(current);
-        if let Some(host) = probed {
-            self.candidates[host].probed_at = Some(Instant::now());
+        let Round { current, current_works, probe, others } =
+            self.candidates.start_round(Instant::now());
+        for host in others.iter().chain(&probe).chain([&current]) {
+            self.clients.entry(*host).or_insert_with(|| Client::new(vec![*host]));
         }
-        let current_failed = matches!(self.candidates[current].health, Health::Failed(_));
-        let first_wait = if current_failed { Duration::ZERO } else { self.wait };
-        let mut others = self.others(current).into_iter();
+        let first_wait = if current_works { self.wait } else { Duration::ZERO };
+        let late_after = LATE_AFTER.min(MAX_ROUND_DELAY / others.len().max(1) as u32);
+        let mut others = others.into_iter();
         let mut failures = Vec::new();
-        let mut sent: Vec<(usize, Instant)> = Vec::new();
+        let mut sent: Vec<(SocketAddr, Instant)> = Vec::new();
         let mut polls = FuturesUnordered::new();
-        let mut send = |polls: &mut FuturesUnordered<_>, host: usize, wait: Duration| {
+        let mut send = |polls: &mut FuturesUnordered<_>, host: SocketAddr, wait: Duration| {
             sent.push((host, Instant::now() + wait));
             polls.push(self.poll(host, revision, wait));
         };
         send(&mut polls, current, first_wait);
-        if let Some(host) = probed {
+        if let Some(host) = probe {
             send(&mut polls, host, Duration::ZERO);
         }
         let late = tokio::time::sleep(first_wait + LATE_AFTER);
@@ -171,7 +134,7 @@
                     Ok(response) => break Ok(response),
                     Err(err) => {
                         failures.push((host, err.to_string()));
-                        let next = if Some(host) == probed { None } else { others.next() };
+                        let next = if Some(host) == probe { None } else { others.next() };
                         if next.is_none() && polls.is_empty() {
                             break Err(err);
                         }
@@ -185,7 +148,7 @@
                 () = &mut late, if others.len() > 0 => others.next(),
             };
             if let Some(host) = next {
-                late.as_mut().reset(tokio::time::Instant::now() + LATE_AFTER);
+                late.as_mut().reset(tokio::time::Instant::now() + late_after);
                 send(&mut polls, host, Duration::ZERO);
             }
         };
@@ -194,54 +157,51 @@
         result
     }
 
-    /// The control host to ask whether it works: the first one among those that are preferred to the current one and were
-    /// not asked lately.
-    fn next_probe(&self, current: usize) -> Option<usize> {
-        let preferred = if self.is_ordered { &self.candidates[..current] } else { &[] };
-        preferred.iter().position(|it| it.probed_at.is_none_or(|at| at.elapsed() >= PROBE_INTERVAL))
-    }
-
-    /// The control hosts to poll after the current one: those that work, then those that are not known, then the one that
-    /// failed longest ago, and so on.
-    fn others(&self, current: usize) -> Vec<usize> {
-        let count = self.candidates.len();
-        let mut others: Vec<_> = (1..count).map(|it| (current + it) % count).collect();
-        others.sort_by_key(|it| self.candidates[*it].health);
-        others
-    }
-
     /// Records which hosts have failed in a round: those that returned an error, and those that were late when another one
     /// answered. The connections of the latter may be silent for good, so they are closed.
     fn record_round(
         &mut self,
-        sent: &[(usize, Instant)],
-        failures: &[(usize, String)],
+        sent: &[(SocketAddr, Instant)],
+        failures: &[(SocketAddr, String)],
         response: Option<&PollResponse>,
     ) {
+        let now = Instant::now();
         for (host, cause) in failures {
-            self.candidates[*host].record_failure(cause);
+            self.record_failure(*host, cause, now);
         }
-        let count = self.candidates.len();
-        let Some(PollResponse { host: answered, sent_at, .. }) = response else {
-            self.current_host = (self.current_host + 1) % count;
-            return;
-        };
-        for (host, due) in sent {
-            if host != answered && due.elapsed() >= LATE_AFTER {
-                self.candidates[*host].record_failure("no response in time");
-                self.candidates[*host].client.disconnect();
+        match response {
+            None => self.candidates.record_failed_round(),
+            Some(response) => {
+                for (host, due) in sent {
+                    if *host != response.host && now.saturating_duration_since(*due) >= LATE_AFTER {
+                        self.record_failure(*host, "no response in time", now);
+                        self.clients[host].disconnect();
+                    }
+                }
+                if self.candidates.record_response(response.host, now) {
+                    let (host, took) = (response.host, now - response.sent_at);
+                    let took_ms = took.as_millis();
+                    log::info!("event=poll_answered control_host={host} took_ms={took_ms}");
+                }
             }
         }
-        self.candidates[*answered].record_response(sent_at.elapsed());
-        self.current_host = *answered;
+        let kept: HashSet<_> = self.candidates.listed().chain([self.current_addr()]).collect();
+        self.clients.retain(|it, _| kept.contains(it));
+    }
+
+    /// Logs the first failure since the last response only, so that a host that is gone does not fill the log.
+    fn record_failure(&mut self, host: SocketAddr, cause: &str, now: Instant) {
+        if self.candidates.record_failure(host, now) {
+            log::info!("event=poll_failed control_host={host} cause={cause:?}");
+        }
     }
 
     async fn poll(
         &self,
-        host: usize,
+        host: SocketAddr,
         revision: Revision,
         wait: Duration,
-    ) -> (usize, Result<PollResponse>) {
+    ) -> (SocketAddr, Result<PollResponse>) {
         let sent_at = Instant::now();
         let poll = Poll {
             node: self.node.clone(),
@@ -249,7 +209,7 @@
             revision,
             wait_ms: wait.as_millis() as u64,
         };
-        let update = self.candidates[host].client.poll(poll).await;
+        let update = self.clients[&host].poll(poll).await;
         (host, update.map(|update| PollResponse { sent_at, host, update }))
     }
 }
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -1,5 +1,6 @@
 //! Tests of control hosts as real processes: host failures, concurrent changes by operators, polls, and durable state.
 
+mod candidates;
 mod chaos;
 mod cluster;
 mod failures;
--- a/tests/control/polls.rs
+++ b/tests/control/polls.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     io::{Read, Write},
-    net::TcpListener,
+    net::{SocketAddr, TcpListener},
     time::{Duration, Instant},
 };
 
@@ -261,3 +261,108 @@
     .await;
     assert!(distrusted_at.elapsed() >= PROBE_INTERVAL, "after {:?}", distrusted_at.elapsed());
 }
+
+/// Control hosts that accept connections and never respond, as those that are gone without a reset.
+fn silent_hosts(count: usize) -> (Vec<TcpListener>, Vec<SocketAddr>) {
+    let listeners: Vec<_> =
+        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("listener")).collect();
+    let addrs = listeners.iter().map(|it| it.local_addr().expect("address")).collect();
+    (listeners, addrs)
+}
+
+/// Polls until there is an answer, which must leave time for the configuration to be in force in time (`configApplyMs`).
+async fn assert_answered_in_time(poller: &mut ConfigPoller, case: &str) {
+    const APPLY: Duration = Duration::from_secs(3);
+    const RETRY_DELAY: Duration = Duration::from_millis(100);
+    let started = Instant::now();
+    while poller.next_update(0, &Notify::new()).await.is_err() {
+        assert!(started.elapsed() < APPLY, "{case}: no answer after {:?}", started.elapsed());
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+    println!("{case}: answered after {:?}", started.elapsed());
+    assert!(started.elapsed() < APPLY, "{case}: took {:?}", started.elapsed());
+}
+
+/// Guards against a poller that never gets an answer again because one control host, such as one that has lost its disk
+/// and is catching up, named members that are all gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn outdated_members_leave_known_hosts() {
+    const WAIT: Duration = Duration::from_secs(1);
+    let cluster = Cluster::start("");
+    cluster.set_label(0, "caller", "x").await;
+    let leader = cluster.wait_for_leader(0).await;
+    let (follower, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    let addr = |it: usize| cluster.hosts[it].rpc;
+    let (_listeners, gone) = silent_hosts(4);
+    // Settings, the members known before, and the host that is stopped once the outdated members are listed.
+    let cases = [
+        ("the host that answered last works", vec![gone[0]], vec![addr(follower)], None),
+        ("a host of the settings works", vec![addr(leader)], vec![addr(follower)], Some(follower)),
+        ("a former member works", vec![gone[0]], vec![addr(follower), addr(other)], Some(follower)),
+    ];
+    for (case, settings, known, stopped) in cases {
+        let mut poller = ConfigPoller::new(&settings, "entry".into(), 1, WAIT);
+        poller.replace_hosts(&known);
+        poller.prefer_first();
+        assert_answered_in_time(&mut poller, "the members known before").await;
+        poller.replace_hosts(&gone);
+        poller.prefer_first();
+        stopped.into_iter().for_each(|it| cluster.signal(it, "STOP"));
+        for _ in 0..3 {
+            assert_answered_in_time(&mut poller, case).await;
+        }
+        stopped.into_iter().for_each(|it| cluster.signal(it, "CONT"));
+    }
+}
+
+/// Guards against a poller that takes seconds to find the only control host that works, because many that are gone are
+/// asked before it: each is a member, a former one or one of the settings.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_silent_hosts_delay_update_within_bound() {
+    const MAX_CONTROL_HOSTS: usize = 21;
+    let cluster = Cluster::start("");
+    cluster.set_label(0, "caller", "x").await;
+    let leader = cluster.wait_for_leader(0).await;
+    let follower = (leader + 1) % 3;
+    let (_listeners, gone) = silent_hosts(MAX_CONTROL_HOSTS);
+    let settings = [cluster.hosts[leader].rpc];
+    let mut poller = ConfigPoller::new(&settings, "entry".into(), 1, Duration::from_secs(1));
+    poller.replace_hosts(&[cluster.hosts[follower].rpc]);
+    poller.prefer_first();
+    assert_answered_in_time(&mut poller, "a member").await;
+    poller.replace_hosts(&gone);
+    poller.prefer_first();
+    cluster.signal(follower, "STOP");
+    assert_answered_in_time(&mut poller, "the settings").await;
+    cluster.signal(follower, "CONT");
+}
+
+/// Guards against connections that stay open to each control host that has ever been a member.
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_to_former_member_is_closed() {
+    let cluster = Cluster::start("");
+    cluster.set_label(0, "caller", "x").await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("listener");
+    let (former, next) = (listener.local_addr().expect("address"), cluster.hosts[0].rpc);
+    let forwarded = tokio::spawn(async move {
+        let (mut client, _) = listener.accept().await.expect("connection");
+        let mut host = tokio::net::TcpStream::connect(next).await.expect("connected");
+        let _ = tokio::io::copy_bidirectional(&mut client, &mut host).await;
+    });
+    let mut poller = ConfigPoller::new(&[next], "entry".into(), 1, Duration::from_millis(100));
+    poller.replace_hosts(&[former]);
+    poller.prefer_first();
+    wait_until("the former member answers", async || {
+        poller.next_update(0, &Notify::new()).await.ok()?;
+        (poller.current_addr() == former).then_some(())
+    })
+    .await;
+    poller.replace_hosts(&[next]);
+    poller.prefer_first();
+    wait_until("the connection is closed", async || {
+        poller.next_update(0, &Notify::new()).await.expect("confirmed");
+        forwarded.is_finished().then_some(())
+    })
+    .await;
+    assert_eq!(poller.current_addr(), next);
+}
