relay: say while the configuration is not confirmed, and from where it came

A record of an incident cannot tell whether a relay that served an old configuration was late, held other content or was stuck: its age was logged only when a poll succeeded, config_late came with every quiet poll (the age cycles up to 2.07 s while nothing changes, the threshold was 1.5 s), and no line named the control host.

config_late starts at 2.5 s, also for the first confirmation (counted from the start of the process). A task of its own logs config_unconfirmed at most once a second while the age is above that, also if the task that polls hangs or has ended, with the polls answered and failed since the last confirmation. routes_applied, update_failed and config_ignored name the control host. Metrics: gentianpass_relay_config_unconfirmed_milliseconds, gentianpass_relay_config_faults_total. No change of logic.

Test: follow::is_log_due_cycle_and_outage, new.

--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -17,7 +17,10 @@
     control::{self, Client, ConfigPoller},
     error::{Error, Kind, Result},
     event::{Event, Kind as EventKind},
-    relay::host::Host,
+    relay::{
+        freshness::{self, LATE_CONFIG_AGE},
+        host::Host,
+    },
     state::{Change, Config, Reply},
 };
 
@@ -34,9 +37,6 @@
 /// Timeout for submitting a change to the control hosts.
 const SUBMIT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// A configuration that was not confirmed for this long is logged as late.
-const LATE_CONFIG_AGE: Duration = Duration::from_millis(1_500);
-
 /// Maximum number of reports that are submitted at once.
 const MAX_REPORTS_AT_ONCE: usize = 32;
 
@@ -64,6 +64,7 @@
 
     /// Follows the configuration and submits changes until the task is aborted.
     pub(super) async fn run(&self) {
+        freshness::spawn_log(&self.host);
         tokio::join!(self.follow(), self.submit());
     }
 
@@ -86,10 +87,14 @@
             self.record_reachability(answer.as_ref().err());
             match answer {
                 Ok(confirmed) => {
+                    self.host.freshness.record_answer(poller.current_addr());
                     self.record_config_age(confirmed.sent_at);
                     self.apply_update(&mut config, confirmed.update);
                 }
-                Err(_) => tokio::time::sleep(RETRY_DELAY).await,
+                Err(err) => {
+                    self.host.freshness.record_failed_poll(&err.to_string());
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
             }
             let own = config.nodes.get(&self.host.cfg.name);
             let registered = own.map(|it| (it.incarnation, it.leaving));
@@ -102,12 +107,16 @@
         }
     }
 
-    /// Records how old the configuration had become.
+    /// Records that the configuration is confirmed, and how old it had become.
     fn record_config_age(&self, sent_at: Instant) {
-        let Some(age) = self.host.confirm_config(sent_at) else { return };
-        self.host.metrics.record_config_age(age);
+        let Host { freshness, metrics, .. } = &*self.host;
+        let (age, is_again) = freshness.confirm(sent_at);
+        if is_again {
+            metrics.record_config_age(age);
+        }
         if age > LATE_CONFIG_AGE {
-            log::warn!("event=config_late age_ms={}", age.as_millis());
+            let control_host = freshness.control_host();
+            log::warn!("event=config_late age_ms={} control_host={control_host}", age.as_millis());
         }
     }
 
@@ -129,7 +138,14 @@
             Ok(Some(cause)) => self.host.apply(config, &cause),
             Ok(None) => {}
             Err(err) => {
-                log::warn!("event=update_failed revision={} cause={err:?}", config.revision);
+                let Host { freshness, metrics, .. } = &*self.host;
+                let (cause, control_host) = (err.to_string(), freshness.control_host());
+                log::warn!(
+                    "event=update_failed revision={} control_host={control_host} cause={cause:?}",
+                    config.revision
+                );
+                freshness.record_failed_update(&cause);
+                metrics.record_config_fault("update_failed");
                 *config = Config::default();
             }
         }
--- /dev/null
+++ b/src/relay/freshness.rs
@@ -0,0 +1,139 @@
+//! How fresh the configuration of this relay is, and the log of the times in which no control host confirms it.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Weak},
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+
+use crate::relay::host::Host;
+
+/// A configuration that was not confirmed for this long is logged as late. While nothing changes, its age cycles up to
+/// two polls and their ways, because a poll is held for a second and the age counts from its sending.
+pub const LATE_CONFIG_AGE: Duration = Duration::from_millis(2_500);
+
+/// Minimum time between two log lines about a configuration that is not confirmed.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How often the age is checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Whether to log now that the configuration is not confirmed. `logged_at` is when this was logged last.
+pub fn is_log_due(age: Duration, logged_at: Option<Instant>, now: Instant) -> bool {
+    let waited = |it| now.saturating_duration_since(it) >= LOG_INTERVAL;
+    age > LATE_CONFIG_AGE && logged_at.is_none_or(waited)
+}
+
+/// What the polls tell of the configuration.
+#[derive(Default)]
+struct State {
+    /// When the poll that last confirmed the configuration was sent. Commits before it are in force.
+    confirmed_at: Option<Instant>,
+    /// The control host that answered last.
+    control_host: Option<SocketAddr>,
+    /// Polls that were answered since the last confirmation.
+    answered: u64,
+    /// Polls that failed at all control hosts since the last confirmation.
+    failed: u64,
+    /// Why the last poll or update failed since the last confirmation.
+    failure: Option<String>,
+}
+
+/// Tells how long ago control hosts confirmed the configuration in force.
+pub(super) struct Freshness {
+    started_at: Instant,
+    state: Mutex<State>,
+}
+
+impl Freshness {
+    pub(super) fn new() -> Self {
+        Self { started_at: Instant::now(), state: Mutex::default() }
+    }
+
+    /// Records that a control host has answered a poll.
+    pub(super) fn record_answer(&self, control_host: SocketAddr) {
+        let mut state = self.state.lock();
+        state.control_host = Some(control_host);
+        state.answered += 1;
+    }
+
+    /// Records that no control host has answered a poll.
+    pub(super) fn record_failed_poll(&self, cause: &str) {
+        let mut state = self.state.lock();
+        state.failed += 1;
+        state.failure = Some(cause.to_owned());
+    }
+
+    /// Records that an answer could not be applied.
+    pub(super) fn record_failed_update(&self, cause: &str) {
+        self.state.lock().failure = Some(cause.to_owned());
+    }
+
+    /// Records that a poll sent at this time has confirmed the configuration. Returns its age before that, counted from
+    /// the start of the process if it was not confirmed before, and whether it was.
+    pub(super) fn confirm(&self, sent_at: Instant) -> (Duration, bool) {
+        let mut state = self.state.lock();
+        let before = state.confirmed_at.replace(sent_at);
+        (state.answered, state.failed, state.failure) = (0, 0, None);
+        (before.unwrap_or(self.started_at).elapsed(), before.is_some())
+    }
+
+    /// When the poll that last confirmed the configuration was sent; none before the first one.
+    pub(super) fn confirmed_at(&self) -> Option<Instant> {
+        self.state.lock().confirmed_at
+    }
+
+    /// The time since the configuration was last confirmed, or since the start of the process.
+    pub(super) fn age(&self) -> Duration {
+        self.confirmed_at().unwrap_or(self.started_at).elapsed()
+    }
+
+    /// The control host that answered last, for the log.
+    pub(super) fn control_host(&self) -> String {
+        self.state.lock().control_host.map_or_else(|| "-".into(), |it| it.to_string())
+    }
+
+    fn log_unconfirmed(&self, host: &Host, age: Duration) {
+        let (answered, failed, cause) = {
+            let state = self.state.lock();
+            (state.answered, state.failed, state.failure.clone().unwrap_or_default())
+        };
+        let view = host.view();
+        log::warn!(
+            "event=config_unconfirmed age_ms={} revision={} version={} control_host={} \
+             polls={answered}/{failed} cause={cause:?}",
+            age.as_millis(),
+            view.revision,
+            view.table.version,
+            self.control_host(),
+        );
+    }
+}
+
+/// Logs while the configuration is not confirmed. It runs in a task of its own, so that it also tells when the one that
+/// polls hangs or has ended.
+pub(super) fn spawn_log(host: &Arc<Host>) {
+    let host = Arc::downgrade(host);
+    tokio::spawn(run_log(host));
+}
+
+async fn run_log(host: Weak<Host>) {
+    let mut logged_at = None;
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        let Some(host) = host.upgrade() else { return };
+        let (age, now) = (host.freshness.age(), Instant::now());
+        host.metrics.set_config_age(age);
+        if is_log_due(age, logged_at, now) {
+            if logged_at.is_none() {
+                host.metrics.record_config_fault("unconfirmed");
+            }
+            logged_at = Some(now);
+            host.freshness.log_unconfirmed(&host, age);
+        } else if age <= LATE_CONFIG_AGE {
+            logged_at = None;
+        }
+    }
+}
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -19,8 +19,8 @@
     event::{Event, Kind, Ring, unix_ms},
     metric,
     relay::{
-        buffer::Buffers, builder::Builder, metrics::Metrics, peer::Peers, report,
-        settings::Settings, suspect::Suspects, view::View,
+        buffer::Buffers, builder::Builder, freshness::Freshness, metrics::Metrics, peer::Peers,
+        report, settings::Settings, suspect::Suspects, view::View,
     },
     state::{Config, Node},
 };
@@ -70,8 +70,8 @@
     view: RwLock<Arc<View>>,
     /// Whether a routing table has been received.
     has_routes: watch::Sender<bool>,
-    /// When the poll that last confirmed the configuration was sent. Commits before it are in force.
-    confirmed_at: Mutex<Option<Instant>>,
+    /// How long ago control hosts confirmed the configuration.
+    pub(super) freshness: Freshness,
     leaving: AtomicBool,
     /// When requests that are still running get their final answer; set once this host is leaving.
     answer_by: OnceLock<Instant>,
@@ -102,7 +102,7 @@
             builder: Mutex::new(Builder::new(cfg.clone())),
             view: RwLock::default(),
             has_routes: watch::Sender::new(false),
-            confirmed_at: Mutex::default(),
+            freshness: Freshness::new(),
             leaving: AtomicBool::new(false),
             answer_by: OnceLock::new(),
             out_of_time: watch::Sender::new(false),
@@ -143,14 +143,25 @@
     /// ignored.
     pub(super) fn apply(&self, config: &Config, cause: &str) {
         if config.revision < self.view().revision {
+            self.metrics.record_config_fault("ignored");
             log::warn!(
-                "event=config_ignored revision={} in_force={}",
+                "event=config_ignored revision={} in_force={} control_host={}",
                 config.revision,
-                self.view().revision
+                self.view().revision,
+                self.freshness.control_host(),
             );
             return;
         }
         let view = self.builder.lock().build(config);
+        if view.table.version != self.view().table.version {
+            log::info!(
+                "event=routes_applied version={} revision={} replaced={} control_host={}",
+                view.table.version,
+                view.revision,
+                self.view().table.version,
+                self.freshness.control_host(),
+            );
+        }
         let has_routes = view.table.version > 0;
         self.peers.retain(|addr| view.nodes.iter().any(|it| it.rpc == *addr));
         *self.view.write() = Arc::new(view);
@@ -158,16 +169,9 @@
         self.events.record(Event::new(Kind::ConfigApplied, cause));
     }
 
-    /// Records that a poll sent at this time has confirmed the configuration. Returns its age before that, if it was
-    /// confirmed before.
-    pub(super) fn confirm_config(&self, sent_at: Instant) -> Option<Duration> {
-        let before = self.confirmed_at.lock().replace(sent_at);
-        before.map(|it| it.elapsed())
-    }
-
     /// The time since the configuration was last confirmed, in milliseconds, for the log; -1 if it never was.
     pub(super) fn config_age_ms(&self) -> i64 {
-        self.confirmed_at.lock().map_or(-1, |it| it.elapsed().as_millis() as i64)
+        self.freshness.confirmed_at().map_or(-1, |it| it.elapsed().as_millis() as i64)
     }
 
     pub(super) fn is_leaving(&self) -> bool {
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use prometheus::{HistogramVec, IntCounterVec};
+use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec};
 
 use crate::{
     metric::Registry,
@@ -21,6 +21,8 @@
     pub(super) connections: IntCounterVec,
     polls: IntCounterVec,
     config_age: HistogramVec,
+    current_config_age: IntGaugeVec,
+    config_faults: IntCounterVec,
 }
 
 impl Metrics {
@@ -73,6 +75,16 @@
                 "Age of the configuration when a poll confirmed it again",
                 &[],
             ),
+            current_config_age: registry.gauge(
+                "gentianpass_relay_config_unconfirmed_milliseconds",
+                "Time since control hosts confirmed the configuration",
+                &[],
+            ),
+            config_faults: counter(
+                "gentianpass_relay_config_faults_total",
+                "Times at which the configuration was not confirmed or not applied, by fault",
+                &["fault"],
+            ),
         }
     }
 
@@ -92,6 +104,15 @@
         self.config_age.with_label_values::<&str>(&[]).observe(age.as_secs_f64());
     }
 
+    pub(super) fn set_config_age(&self, age: Duration) {
+        let age_ms = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
+        self.current_config_age.with_label_values::<&str>(&[]).set(age_ms);
+    }
+
+    pub(super) fn record_config_fault(&self, fault: &str) {
+        self.config_faults.with_label_values(&[fault]).inc();
+    }
+
     pub(super) fn record_exchange(&self, outcome: &Outcome, took: Duration) {
         let label = match outcome {
             Outcome::Answered(it) if it.status.is_server_error() => "failed",
--- a/tests/relay/follow.rs
+++ b/tests/relay/follow.rs
@@ -1,8 +1,12 @@
-//! How soon a relay follows the configuration while its other calls to control hosts get no response.
+//! How soon a relay follows the configuration, and what it does while it cannot.
 
 use std::time::{Duration, Instant};
 
-use gentianpass::{route::Kind, state::Change};
+use gentianpass::{
+    relay::{LATE_CONFIG_AGE, is_log_due},
+    route::Kind,
+    state::Change,
+};
 use hyper::StatusCode;
 use tokio::time::{sleep, timeout};
 
@@ -43,3 +47,23 @@
         assert!(in_force.is_ok() && took < APPLY, "round {round}: {took:?}");
     }
 }
+
+/// Guards against a log that is full of the age that each poll reaches while nothing changes, and against a relay that is
+/// behind and says so only once, or at each check.
+#[test]
+fn is_log_due_cycle_and_outage() {
+    let start = Instant::now();
+    let ms = Duration::from_millis;
+    assert!(!is_log_due(ms(2_070), None, start));
+    assert!(LATE_CONFIG_AGE > ms(2_070) && LATE_CONFIG_AGE < ms(3_000));
+    let mut logged_at = None;
+    let mut lines = Vec::new();
+    for age_ms in (0..10_000).step_by(250) {
+        let now = start + ms(age_ms);
+        if is_log_due(ms(age_ms), logged_at, now) {
+            logged_at = Some(now);
+            lines.push(age_ms);
+        }
+    }
+    assert_eq!(lines, [2_750, 3_750, 4_750, 5_750, 6_750, 7_750, 8_750, 9_750]);
+}
