relay: the age of the configuration counts only from an update that was applied

A relay whose copy could not apply the updates of a control host served the old configuration and logged an age of some milliseconds, for as long as the updates did not apply: the poll was recorded as a confirmation before its update was applied. The age is recorded after that.

Test: follow::update_not_applied_age_grows, new. Before: "age after 4 s without an update: Some(0) ms". After: passes.

--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -88,8 +88,18 @@
             match answer {
                 Ok(confirmed) => {
                     self.host.freshness.record_answer(poller.current_addr());
-                    self.record_config_age(confirmed.sent_at);
-                    self.apply_update(&mut config, confirmed.update);
+                    match control::apply_update(&mut config, confirmed.update) {
+                        Ok(cause) => {
+                            self.record_config_age(confirmed.sent_at);
+                            if let Some(cause) = cause {
+                                self.host.apply(&config, &cause);
+                            }
+                        }
+                        Err(err) => {
+                            self.record_failed_update(&config, &err);
+                            config = Config::default();
+                        }
+                    }
                 }
                 Err(err) => {
                     self.host.freshness.record_failed_poll(&err.to_string());
@@ -133,22 +143,16 @@
         self.host.events.record(event);
     }
 
-    fn apply_update(&self, config: &mut Config, update: crate::wire::control::Update) {
-        match control::apply_update(config, update) {
-            Ok(Some(cause)) => self.host.apply(config, &cause),
-            Ok(None) => {}
-            Err(err) => {
-                let Host { freshness, metrics, .. } = &*self.host;
-                let (cause, control_host) = (err.to_string(), freshness.control_host());
-                log::warn!(
-                    "event=update_failed revision={} control_host={control_host} cause={cause:?}",
-                    config.revision
-                );
-                freshness.record_failed_update(&cause);
-                metrics.record_config_fault("update_failed");
-                *config = Config::default();
-            }
-        }
+    /// Records that the copy of the configuration stays as it is, so that its age goes on growing.
+    fn record_failed_update(&self, config: &Config, err: &Error) {
+        let Host { freshness, metrics, .. } = &*self.host;
+        let (cause, control_host) = (err.to_string(), freshness.control_host());
+        log::warn!(
+            "event=update_failed revision={} control_host={control_host} cause={cause:?}",
+            config.revision
+        );
+        freshness.record_failed_update(&cause);
+        metrics.record_config_fault("update_failed");
     }
 
     /// Keeps this host registered, submits its reports and refreshes the list of control hosts, all through the control
--- a/tests/relay/follow.rs
+++ b/tests/relay/follow.rs
@@ -4,13 +4,16 @@
 
 use gentianpass::{
     relay::{LATE_CONFIG_AGE, is_log_due},
-    route::Kind,
+    route::{Kind, Route},
     state::Change,
 };
 use hyper::StatusCode;
 use tokio::time::{sleep, timeout};
 
-use crate::support::{Behaviour, Harness, StubTarget, record, single};
+use crate::{
+    fake_control::{Answer, FakeControl, changes_with_gap, config, whole},
+    support::{Behaviour, Harness, StubTarget, record, single},
+};
 
 /// Half of the time from an acknowledgement until the configuration must be in force (`configApplyMs`): the other half
 /// is for a control host that has just fallen silent.
@@ -67,3 +70,36 @@
     }
     assert_eq!(lines, [2_750, 3_750, 4_750, 5_750, 6_750, 7_750, 8_750, 9_750]);
 }
+
+/// The value of a metric without labels.
+fn metric(harness: &Harness, name: &str) -> Option<u64> {
+    let text = harness.relay.metrics();
+    let mut values = text.lines().filter_map(|it| it.strip_prefix(name)?.trim().parse().ok());
+    values.next()
+}
+
+const CONFIG_AGE_MS: &str = "gentianpass_relay_config_unconfirmed_milliseconds";
+
+/// A route under this prefix whose service has no targets.
+fn route(prefix: &str) -> Route {
+    Route { name: prefix.into(), prefix: prefix.into(), ..single(Kind::Idempotent) }
+}
+
+/// Guards against an age that counts from an answer which could not be applied: the relay served the old configuration
+/// and recorded it as confirmed.
+#[tokio::test]
+async fn update_not_applied_age_grows() {
+    let first = config(5, 1, vec![route("/old/")]);
+    let (control, addr) = FakeControl::start(move |poll| match poll.revision {
+        5 => Answer::Unchanged,
+        _ => whole(&first),
+    })
+    .await;
+    let harness = Harness::start_with(|it| it.control = vec![addr]).await;
+    harness.wait_until(|| harness.relay.is_ready()).await;
+    control.set_script(|_| changes_with_gap(9));
+    let last = Instant::now();
+    harness.wait_until(|| last.elapsed() > Duration::from_secs(4)).await;
+    let age_ms = metric(&harness, CONFIG_AGE_MS);
+    assert!(age_ms.is_some_and(|it| it > 3_000), "age after 4 s without an update: {age_ms:?} ms");
+}
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod cold_start;
 mod delegate;
 mod directory;
+mod fake_control;
 mod follow;
 mod gather;
 mod leaving;
