relay: get the whole configuration after an update that does not apply, also an older one

Three ways for a relay to serve an old configuration for ever while its polls are answered:

- After an update that did not apply, its copy started again from revision 0.
The control host has the changes since then, and sends them if they are smaller than the configuration: they fail in the same way again.
- A configuration with a lower revision than the one in force was ignored, also when control hosts confirmed that there is nothing newer.
Then their state went back, and what the relay holds can be read back nowhere: the confirmed one is put in force and config_went_back is logged as an error.
While a copy is built anew in steps, a lower revision is ignored as before, and its age is not recorded as confirmed.
It takes two polls: the first answer with an older configuration fails to apply, the second one is the whole configuration again.
- The routing table was kept while its version stayed the same.
It is kept while its content does.

A relay that fails to get a usable answer no longer polls without a pause. routes_applied also logs the digest.

Tests (new), before: update_not_applied_whole_configuration "still the old configuration"; confirmed_lower_revision_applied and unchanged_lower_revision_applied "still the lost configuration".

--- a/src/relay/builder.rs
+++ b/src/relay/builder.rs
@@ -43,7 +43,7 @@
 const THOUSANDTHS: u64 = 1_000;
 
 /// State that outlives a view: targets with their connections and statistics, retry budgets, queues, latency estimates, split
-/// pickers, and the routing table while its version stays the same.
+/// pickers, and the routing table while it stays the same.
 pub(super) struct Builder {
     cfg: Arc<Settings>,
     targets: HashMap<(String, u64), Arc<Target>>,
@@ -55,6 +55,8 @@
     latencies: HashMap<String, Arc<Mutex<LatencyEstimate>>>,
     split_pickers: HashMap<String, Arc<SplitPicker>>,
     table: Arc<RouteTable>,
+    /// What `table` was resolved from.
+    table_source: route::Table,
     /// Whether a view has been built. Before the first one, nothing is known of who owned a target.
     has_view: bool,
 }
@@ -70,6 +72,7 @@
             latencies: HashMap::new(),
             split_pickers: HashMap::new(),
             table: Arc::default(),
+            table_source: route::Table::default(),
             has_view: false,
         }
     }
@@ -101,11 +104,14 @@
                 queue: self.queues.entry(name.clone()).or_default().clone(),
             });
         }
-        if self.table.version != table.version {
+        // After control hosts have lost state, a version may come with another content.
+        if self.table_source != *table {
             self.table = Arc::new(self.resolve_table(table, &keys));
+            self.table_source.clone_from(table);
         }
         View {
             revision: config.revision,
+            digest: config.digest(),
             table: self.table.clone(),
             nodes,
             quarantine: config.quarantined_fingerprints().collect(),
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -14,14 +14,15 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    control::{self, Client, ConfigPoller},
+    control::{self, Client, ConfigPoller, PollResponse},
     error::{Error, Kind, Result},
     event::{Event, Kind as EventKind},
     relay::{
         freshness::{self, LATE_CONFIG_AGE},
         host::Host,
     },
-    state::{Change, Config, Reply},
+    state::{Change, Config, Reply, Revision},
+    wire::control::Update,
 };
 
 /// How long a control host may hold a poll open while nothing changes. A third of the default
@@ -40,6 +41,21 @@
 /// Maximum number of reports that are submitted at once.
 const MAX_REPORTS_AT_ONCE: usize = 32;
 
+/// A poll from this revision is answered with the whole configuration: no control host has the changes since a revision
+/// that is newer than its configuration.
+const WHOLE_CONFIG_REVISION: Revision = Revision::MAX;
+
+/// How the copy of the configuration gets back to that of the control hosts after an update did not apply to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Resync {
+    /// It follows their changes.
+    None,
+    /// It is replaced by the whole configuration.
+    Whole,
+    /// The whole configuration does not fit into a message, so the copy is built anew from the changes since revision 0.
+    Steps,
+}
+
 /// What the polls tell the task that submits.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Position {
@@ -74,6 +90,7 @@
         let mut poller =
             ConfigPoller::new(&cfg.control, cfg.name.clone(), self.host.incarnation, MAX_POLL_WAIT);
         let mut config = Config::default();
+        let mut resync = Resync::None;
         // Nothing here needs an answer sooner than the polls bring it.
         let poll_now = Notify::new();
         loop {
@@ -81,28 +98,31 @@
                 poller.replace_hosts(&members);
                 poller.prefer_first();
             }
-            let answer = poller.next_update(config.revision, &poll_now).await;
+            let revision = match resync {
+                Resync::Whole => WHOLE_CONFIG_REVISION,
+                Resync::None | Resync::Steps => config.revision,
+            };
+            let answer = poller.next_update(revision, &poll_now).await;
             self.host.metrics.record_poll(answer.is_ok());
             let control_host = answer.is_ok().then(|| poller.current_addr());
             self.record_reachability(answer.as_ref().err());
             match answer {
                 Ok(confirmed) => {
                     self.host.freshness.record_answer(poller.current_addr());
-                    match control::apply_update(&mut config, confirmed.update) {
-                        Ok(cause) => {
-                            self.record_config_age(confirmed.sent_at);
-                            if let Some(cause) = cause {
-                                self.host.apply(&config, &cause);
-                            }
-                        }
-                        Err(err) => {
-                            self.record_failed_update(&config, &err);
-                            config = Config::default();
-                        }
+                    let next = self.apply_update(&mut config, confirmed, resync);
+                    let failed_again = (resync, next) == (Resync::Whole, Resync::Whole);
+                    resync = next;
+                    if failed_again {
+                        tokio::time::sleep(RETRY_DELAY).await;
                     }
                 }
                 Err(err) => {
                     self.host.freshness.record_failed_poll(&err.to_string());
+                    if resync == Resync::Whole && err.kind == Kind::TooLarge {
+                        // Only the history may lead there.
+                        log::warn!("event=config_restarted cause={:?}", err.to_string());
+                        (config, resync) = (Config::default(), Resync::Steps);
+                    }
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
             }
@@ -143,12 +163,52 @@
         self.host.events.record(event);
     }
 
+    /// Applies an update to the copy of the configuration and makes it current. Returns how to go on.
+    fn apply_update(&self, config: &mut Config, confirmed: PollResponse, resync: Resync) -> Resync {
+        let PollResponse { sent_at, update, .. } = confirmed;
+        let is_whole = matches!(update, Update::Config(_));
+        let is_newest = is_whole || matches!(&update, Update::Changes(it) if it.is_empty());
+        match (resync, update) {
+            (Resync::Whole, Update::Config(whole)) => {
+                *config = *whole;
+                let cause = format!("revision {}: full configuration", config.revision);
+                self.host.apply(config, &cause, true);
+                self.record_config_age(sent_at);
+                return Resync::None;
+            }
+            (Resync::Whole, Update::Changes(_)) => {
+                let message = "changes instead of the whole configuration";
+                self.record_failed_update(config, &Error::new(Kind::Internal, message));
+                return Resync::Whole;
+            }
+            (_, update) => match control::apply_update(config, update) {
+                Ok(cause) => {
+                    let is_older = config.revision < self.host.view().revision;
+                    let went_back = is_older && is_newest;
+                    let cause = cause.or_else(|| went_back.then(|| "nothing newer".to_owned()));
+                    if let Some(cause) = cause {
+                        self.host.apply(config, &cause, is_newest);
+                    }
+                    if is_newest || !is_older {
+                        self.record_config_age(sent_at);
+                    }
+                }
+                Err(err) => {
+                    self.record_failed_update(config, &err);
+                    return Resync::Whole;
+                }
+            },
+        }
+        if is_newest { Resync::None } else { resync }
+    }
+
     /// Records that the copy of the configuration stays as it is, so that its age goes on growing.
     fn record_failed_update(&self, config: &Config, err: &Error) {
         let Host { freshness, metrics, .. } = &*self.host;
         let (cause, control_host) = (err.to_string(), freshness.control_host());
         log::warn!(
-            "event=update_failed revision={} control_host={control_host} cause={cause:?}",
+            "event=update_failed revision={} control_host={control_host} cause={cause:?} \
+             next=whole_configuration",
             config.revision
         );
         freshness.record_failed_update(&cause);
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -140,25 +140,40 @@
     }
 
     /// Builds the view of a configuration and makes it current. A configuration that is older than the current one is
-    /// ignored.
-    pub(super) fn apply(&self, config: &Config, cause: &str) {
-        if config.revision < self.view().revision {
+    /// ignored unless control hosts have confirmed that there is nothing newer: then their state went back, because they
+    /// lost it or got back an older one, and what this relay holds can be read back nowhere.
+    pub(super) fn apply(&self, config: &Config, cause: &str, is_newest: bool) {
+        let replaced = self.view();
+        if config.revision < replaced.revision && is_newest {
+            self.metrics.record_config_fault("went_back");
+            log::error!(
+                "event=config_went_back revision={} replaced={} version={} replaced_version={} \
+                 control_host={}",
+                config.revision,
+                replaced.revision,
+                config.routes.version,
+                replaced.table.version,
+                self.freshness.control_host(),
+            );
+        } else if config.revision < replaced.revision {
             self.metrics.record_config_fault("ignored");
             log::warn!(
                 "event=config_ignored revision={} in_force={} control_host={}",
                 config.revision,
-                self.view().revision,
+                replaced.revision,
                 self.freshness.control_host(),
             );
             return;
         }
         let view = self.builder.lock().build(config);
-        if view.table.version != self.view().table.version {
+        if !Arc::ptr_eq(&view.table, &replaced.table) {
             log::info!(
-                "event=routes_applied version={} revision={} replaced={} control_host={}",
+                "event=routes_applied version={} revision={} digest={:016x} replaced={} \
+                 control_host={}",
                 view.table.version,
                 view.revision,
-                self.view().table.version,
+                view.digest,
+                replaced.table.version,
                 self.freshness.control_host(),
             );
         }
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -73,8 +73,7 @@
     pub(super) split_picker: Arc<SplitPicker>,
 }
 
-/// A routing table with resolved routes. Most revisions change targets only, so views share it until its version
-/// changes.
+/// A routing table with resolved routes. Most revisions change targets only, so views share it until it changes.
 #[derive(Default)]
 pub(super) struct RouteTable {
     pub(super) version: u64,
@@ -87,6 +86,8 @@
 #[derive(Default)]
 pub(super) struct View {
     pub(super) revision: u64,
+    /// Digest of the configuration.
+    pub(super) digest: u64,
     pub(super) table: Arc<RouteTable>,
     pub(super) nodes: Vec<Node>,
     /// Fingerprints of requests that crash targets and are refused.
--- a/tests/relay/follow.rs
+++ b/tests/relay/follow.rs
@@ -85,6 +85,16 @@
     Route { name: prefix.into(), prefix: prefix.into(), ..single(Kind::Idempotent) }
 }
 
+/// Waits until the relay knows the route under this prefix.
+async fn wait_for_route(harness: &Harness, prefix: &str, limit: Duration) -> bool {
+    let known = async {
+        while harness.get(prefix).await.0 == StatusCode::NOT_FOUND {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(limit, known).await.is_ok()
+}
+
 /// Guards against an age that counts from an answer which could not be applied: the relay served the old configuration
 /// and recorded it as confirmed.
 #[tokio::test]
@@ -103,3 +113,68 @@
     let age_ms = metric(&harness, CONFIG_AGE_MS);
     assert!(age_ms.is_some_and(|it| it > 3_000), "age after 4 s without an update: {age_ms:?} ms");
 }
+
+/// Guards against a copy that starts again from revision 0 after an update that did not apply and gets the same changes
+/// again, for ever: the control host has them since revision 0, and sends the whole configuration only to a host whose
+/// revision its history does not have.
+#[tokio::test]
+async fn update_not_applied_whole_configuration() {
+    let first = config(5, 1, vec![route("/old/")]);
+    let (control, addr) = FakeControl::start(move |poll| match poll.revision {
+        5 => Answer::Unchanged,
+        _ => whole(&first),
+    })
+    .await;
+    let harness = Harness::start_with(|it| it.control = vec![addr]).await;
+    harness.wait_until(|| harness.relay.is_ready()).await;
+    let second = config(9, 2, vec![route("/new/")]);
+    control.set_script(move |poll| match poll.revision {
+        9 => Answer::Unchanged,
+        0..9 => changes_with_gap(9),
+        _ => whole(&second),
+    });
+    assert!(wait_for_route(&harness, "/new/", 2 * APPLY).await, "still the old configuration");
+}
+
+/// Guards against a relay that goes on for ever with a configuration that the control hosts have lost: what it serves
+/// can be read back nowhere. The table has the same version, so that a table that is kept by its version shows as well.
+#[tokio::test]
+async fn confirmed_lower_revision_applied() {
+    let before = config(50, 2, vec![route("/lost/")]);
+    let (control, addr) = FakeControl::start(move |poll| match poll.revision {
+        50 => Answer::Unchanged,
+        _ => whole(&before),
+    })
+    .await;
+    let harness = Harness::start_with(|it| it.control = vec![addr]).await;
+    harness.wait_until(|| harness.relay.is_ready()).await;
+    let after = config(20, 2, vec![route("/kept/")]);
+    control.set_script(move |poll| match poll.revision {
+        20 => Answer::Unchanged,
+        _ => whole(&after),
+    });
+    assert!(wait_for_route(&harness, "/kept/", 2 * APPLY).await, "still the lost configuration");
+    assert_eq!(harness.get("/lost/").await.0, StatusCode::NOT_FOUND);
+}
+
+/// Guards against a relay whose control hosts went back while its copy was started again in steps: the changes since
+/// revision 0 lead to a lower revision than that of the routing table in force, and nothing newer follows.
+#[tokio::test]
+async fn unchanged_lower_revision_applied() {
+    let before = config(50, 2, vec![route("/lost/")]);
+    let (control, addr) = FakeControl::start(move |poll| match poll.revision {
+        50 => Answer::Unchanged,
+        _ => whole(&before),
+    })
+    .await;
+    let harness = Harness::start_with(|it| it.control = vec![addr]).await;
+    harness.wait_until(|| harness.relay.is_ready()).await;
+    let after = config(20, 1, vec![route("/kept/")]);
+    control.set_script(move |poll| match poll.revision {
+        20 => Answer::Unchanged,
+        0..20 => whole(&after),
+        50 => changes_with_gap(60),
+        _ => Answer::TooLarge,
+    });
+    assert!(wait_for_route(&harness, "/kept/", 2 * APPLY).await, "still the lost configuration");
+}
