relay: no 404 for an unknown route while the configuration is not confirmed

A relay that had not heard of a new route, because no control host confirmed its configuration, answered 404, and callers do not repeat a request after that. Once the configuration was not confirmed for configApplyMs (Settings::max_config_age, 3 s unless the platform says otherwise) it answers 503 with Retry-After 0.1 s, and logs cause=config_unconfirmed: it cannot know whether the route exists, and the caller may ask another relay. Routes that it knows are served as before.

--- a/src/relay/response.rs
+++ b/src/relay/response.rs
@@ -35,7 +35,7 @@
 /// After a refusal a caller is told to retry after the objective divided by this.
 const RETRY_AFTER_DIVISOR: u32 = 8;
 
-/// `Retry-After` while there is no routing table, so that no objective is known.
+/// `Retry-After` while there is no routing table, or none that knows the route, so that no objective is known.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(100);
 
 /// Why a request gets no response from a target.
@@ -99,21 +99,28 @@
     text(StatusCode::SERVICE_UNAVAILABLE, cause, RETRY_AFTER_DEFAULT)
 }
 
-/// Builds the response for a request that the routing table does not allow.
+/// Builds the response for a request that the routing table does not allow. If control hosts have not confirmed the
+/// table in time, a newer one may allow it, so the caller is told to try again: callers do not repeat a request after 404.
 pub(super) fn not_found(
     host: &Host,
     view: &View,
     request_id: Option<&HeaderValue>,
     cause: &str,
 ) -> Response<Full<Bytes>> {
+    let (status, cause) = if host.freshness.age() > host.cfg.max_config_age {
+        (StatusCode::SERVICE_UNAVAILABLE, "config_unconfirmed")
+    } else {
+        (StatusCode::NOT_FOUND, cause)
+    };
     log::info!(
-        "event=refused request={} status=404 cause={cause} version={} revision={} config_age_ms={}",
+        "event=refused request={} status={} cause={cause} version={} revision={} config_age_ms={}",
         request_id.and_then(|it| it.to_str().ok()).unwrap_or("-"),
+        status.as_u16(),
         view.table.version,
         view.revision,
         host.config_age_ms(),
     );
-    text(StatusCode::NOT_FOUND, cause, Duration::ZERO)
+    text(status, cause, RETRY_AFTER_DEFAULT)
 }
 
 /// Forwards the response of a target.
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -4,6 +4,9 @@
 
 use hyper::header::HeaderName;
 
+/// Default of [`Settings::max_config_age`].
+pub const DEFAULT_MAX_CONFIG_AGE: Duration = Duration::from_millis(3_000);
+
 /// Names of the headers that callers, relays and targets exchange.
 #[derive(Clone, Debug)]
 pub struct Headers {
@@ -51,6 +54,9 @@
     pub retry_initial: u32,
     /// How long callers keep the addresses that they have looked up.
     pub address_ttl: Duration,
+    /// A request for a route that the configuration does not have is refused for good only while control hosts have
+    /// confirmed the configuration within this time. Later the route may exist, and the caller is told to try again.
+    pub max_config_age: Duration,
     /// The time from the signal to stop until the process is killed.
     pub grace_period: Duration,
 }
--- a/tests/relay/follow.rs
+++ b/tests/relay/follow.rs
@@ -3,16 +3,17 @@
 use std::time::{Duration, Instant};
 
 use gentianpass::{
-    relay::{LATE_CONFIG_AGE, is_log_due},
+    relay::{DEFAULT_MAX_CONFIG_AGE, LATE_CONFIG_AGE, is_log_due},
     route::{Kind, Route},
     state::Change,
+    wire::control::Poll,
 };
 use hyper::StatusCode;
 use tokio::time::{sleep, timeout};
 
 use crate::{
     fake_control::{Answer, FakeControl, changes_with_gap, config, whole},
-    support::{Behaviour, Harness, StubTarget, record, single},
+    support::{self, Behaviour, Harness, StubTarget, WAIT_TIMEOUT, record, single},
 };
 
 /// Half of the time from an acknowledgement until the configuration must be in force (`configApplyMs`): the other half
@@ -178,3 +179,37 @@
     });
     assert!(wait_for_route(&harness, "/kept/", 2 * APPLY).await, "still the lost configuration");
 }
+
+/// Guards against a relay that refuses a route for good although it cannot know whether the route exists: callers do not
+/// repeat a request after 404. Routes that it knows are served as before.
+#[tokio::test]
+async fn unknown_route_unconfirmed() {
+    let target = StubTarget::start(Behaviour::Answer(record(1))).await;
+    let mut config = config(5, 1, vec![single(Kind::Idempotent)]);
+    config.targets.insert("a".into(), support::target("a", "s", "near", target.addr));
+    let script = move |poll: &Poll| match poll.revision {
+        5 => Answer::Unchanged,
+        _ => whole(&config),
+    };
+    let (control, addr) = FakeControl::start(script.clone()).await;
+    let harness = Harness::start_with(|it| it.control = vec![addr]).await;
+    harness.wait_until(|| harness.relay.is_ready()).await;
+    sleep(DEFAULT_MAX_CONFIG_AGE).await;
+    assert_eq!(harness.get("/unknown/").await.0, StatusCode::NOT_FOUND);
+    control.set_script(|_| Answer::Silent);
+    sleep(DEFAULT_MAX_CONFIG_AGE + Duration::from_millis(1_200)).await;
+    let (status, headers, body) = harness.get("/unknown/").await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(
+        (&headers["retry-after"], &body[..]),
+        (&"0.100".parse().unwrap(), &b"config_unconfirmed"[..])
+    );
+    assert_eq!(harness.get("/one/x").await.0, StatusCode::OK);
+    control.set_script(script);
+    let confirmed = async {
+        while harness.get("/unknown/").await.0 != StatusCode::NOT_FOUND {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(WAIT_TIMEOUT, confirmed).await.expect("confirmed again");
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -487,6 +487,7 @@
         retry_burst: 100,
         retry_initial: 0,
         address_ttl: Duration::from_secs(1),
+        max_config_age: relay::DEFAULT_MAX_CONFIG_AGE,
         grace_period: Duration::from_secs(2),
     };
     change(&mut settings);
