--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -19,8 +19,8 @@
     event::{Event, Kind, Ring, unix_ms},
     metric,
     relay::{
-        buffer::Buffers, builder::Builder, metrics::Metrics, peer::Peers, report,
-        settings::Settings, suspect::Suspects, view::View,
+        buffer::Buffers, builder::Builder, freshness::Freshness, metrics::Metrics, peer::Peers,
+        report, settings::Settings, suspect::Suspects, view::View,
     },
     state::{Config, Node},
 };
@@ -70,8 +70,8 @@
     view: RwLock<Arc<View>>,
     /// Whether a routing table has been received.
     has_routes: watch::Sender<bool>,
-    /// When the poll that last confirmed the configuration was sent. Commits before it are in force.
-    confirmed_at: Mutex<Option<Instant>>,
+    /// How long ago control hosts confirmed the configuration.
+    pub(super) freshness: Freshness,
     leaving: AtomicBool,
     /// When requests that are still running get their final answer; set once this host is leaving.
     answer_by: OnceLock<Instant>,
@@ -102,7 +102,7 @@
             builder: Mutex::new(Builder::new(cfg.clone())),
             view: RwLock::default(),
             has_routes: watch::Sender::new(false),
-            confirmed_at: Mutex::default(),
+            freshness: Freshness::new(),
             leaving: AtomicBool::new(false),
             answer_by: OnceLock::new(),
             out_of_time: watch::Sender::new(false),
@@ -140,17 +140,43 @@
     }
 
     /// Builds the view of a configuration and makes it current. A configuration that is older than the current one is
-    /// ignored.
-    pub(super) fn apply(&self, config: &Config, cause: &str) {
-        if config.revision < self.view().revision {
+    /// ignored unless control hosts have confirmed that there is nothing newer: then their state went back, because they
+    /// lost it or got back an older one, and what this relay holds can be read back nowhere.
+    pub(super) fn apply(&self, config: &Config, cause: &str, is_newest: bool) {
+        let replaced = self.view();
+        if config.revision < replaced.revision && is_newest {
+            self.metrics.record_config_fault("went_back");
+            log::error!(
+                "event=config_went_back revision={} replaced={} version={} replaced_version={} \
+                 control_host={}",
+                config.revision,
+                replaced.revision,
+                config.routes.version,
+                replaced.table.version,
+                self.freshness.control_host(),
+            );
+        } else if config.revision < replaced.revision {
+            self.metrics.record_config_fault("ignored");
             log::warn!(
-                "event=config_ignored revision={} in_force={}",
+                "event=config_ignored revision={} in_force={} control_host={}",
                 config.revision,
-                self.view().revision
+                replaced.revision,
+                self.freshness.control_host(),
             );
             return;
         }
         let view = self.builder.lock().build(config);
+        if !Arc::ptr_eq(&view.table, &replaced.table) {
+            log::info!(
+                "event=routes_applied version={} revision={} digest={:016x} replaced={} \
+                 control_host={}",
+                view.table.version,
+                view.revision,
+                view.digest,
+                replaced.table.version,
+                self.freshness.control_host(),
+            );
+        }
         let has_routes = view.table.version > 0;
         self.peers.retain(|addr| view.nodes.iter().any(|it| it.rpc == *addr));
         *self.view.write() = Arc::new(view);
@@ -158,16 +184,9 @@
         self.events.record(Event::new(Kind::ConfigApplied, cause));
     }
 
-    /// Records that a poll sent at this time has confirmed the configuration. Returns its age before that, if it was
-    /// confirmed before.
-    pub(super) fn confirm_config(&self, sent_at: Instant) -> Option<Duration> {
-        let before = self.confirmed_at.lock().replace(sent_at);
-        before.map(|it| it.elapsed())
-    }
-
     /// The time since the configuration was last confirmed, in milliseconds, for the log; -1 if it never was.
     pub(super) fn config_age_ms(&self) -> i64 {
-        self.confirmed_at.lock().map_or(-1, |it| it.elapsed().as_millis() as i64)
+        self.freshness.confirmed_at().map_or(-1, |it| it.elapsed().as_millis() as i64)
     }
 
     pub(super) fn is_leaving(&self) -> bool {
