state: reports of one crash make one revision in ten seconds

Since a crash that extends a suspicion makes a revision, each report of the same crash would be fetched by all hosts. The reports are not as few as the crashes: a relay submits its reports again, under new ids, until it gets a reply, and replies are late when there is much to fetch. Seen in the test: a crash that is reported once a second makes 60 revisions in a minute.

A crash of a target that is recorded already now extends the record by at least 10 s or not at all. A suspicion may so end up to 10 s earlier after its last crash than before. The first crash of each target sets the full time, as before.

--- a/src/state/suspect.rs
+++ b/src/state/suspect.rs
@@ -13,6 +13,10 @@
 /// How long after its last crash a request remains a suspect, and in quarantine if it is quarantined.
 pub const QUARANTINE_MS: u64 = 600_000;
 
+/// A further crash of a target that is recorded already extends the record by at least this much, or not at all. Relays
+/// report a crash again until they get a reply, and each report that alters the record is a revision that all hosts fetch.
+const MIN_EXTENSION_MS: u64 = 10_000;
+
 /// Number of different crashed targets at which a request is quarantined.
 pub const QUARANTINE_MIN_TARGETS: usize = 2;
 
@@ -51,8 +55,11 @@
         let until_ms = self.now_ms + QUARANTINE_MS;
         let new_suspect = Suspect { targets: BTreeSet::new(), until_ms };
         let suspect = self.suspects.entry(fingerprint).or_insert(new_suspect);
-        let is_extended = suspect.until_ms != until_ms;
-        suspect.until_ms = until_ms;
-        suspect.targets.insert(target.to_owned()) || is_extended
+        let is_new = suspect.targets.insert(target.to_owned());
+        let is_altered = is_new || until_ms >= suspect.until_ms + MIN_EXTENSION_MS;
+        if is_altered {
+            suspect.until_ms = until_ms;
+        }
+        is_altered
     }
 }
