entry: leave gracefully when an essential task has ended

When the task that polls the control hosts panicked, the entry host ended at once and stayed listed, so that callers went on to use its address; the ends of the tasks that accept callers' connections, accept other entry hosts and watch the lease were not noticed at all. The test polling_panics_host_stops failed before with "the host has ended without leaving". All four tasks are now supervised: the host drains and leaves like after SIGTERM, and ends with an error.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -31,7 +31,10 @@
 use std::sync::Arc;
 
 use eyre::WrapErr;
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{
+    net::TcpListener,
+    sync::{oneshot, watch},
+};
 
 pub use host::HostContext;
 pub use owner_router::OwnerRouter;
@@ -43,9 +46,16 @@
     event::{Event, Kind as EventKind},
     owner::Owner,
     peer::Peers,
-    settings, trace,
+    settings,
+    supervise::Tasks,
+    trace,
 };
 
+/// The tasks that accept requests of other entry hosts, accept those of callers and poll the control hosts, in logs.
+const RPC_TASK: &str = "rpc";
+const ACCEPT_TASK: &str = "accept";
+const POLL_TASK: &str = "poll";
+
 /// Runs an entry host with the owner of its targets. Drains and stops it when `shutdown` completes.
 pub async fn run(mut cfg: settings::Entry, shutdown: impl Future) -> eyre::Result<()> {
     let http = bind(cfg.listen_http).await?;
@@ -64,17 +74,27 @@
         context.events.clone(),
         &context.metrics,
     );
-    let (stop_rpc, rpc_stop) = tokio::sync::oneshot::channel::<()>();
-    let rpc_server = tokio::spawn(owner.clone().serve(rpc, rpc_stop));
+    let (stop_rpc, rpc_stop) = oneshot::channel::<()>();
+    let mut tasks = Tasks::default();
+    tasks.spawn(RPC_TASK, owner.clone().serve(rpc, rpc_stop));
     let owners = OwnerRouter::new(&context.cfg.name, context.incarnation, owner, peers);
-    let served = serve(context, owners, http, shutdown).await;
+    let mut failure = None;
+    let stop = async {
+        tokio::select! {
+            _ = shutdown => {}
+            it = tasks.ended() => failure = Some(it),
+        }
+    };
+    let served = serve(context, owners, http, stop).await;
     drop(stop_rpc);
-    rpc_server.await??;
-    Ok(served?)
+    tasks.wait(RPC_TASK).await?;
+    served?;
+    failure.map_or(Ok(()), |it| Err(it.into()))
 }
 
-/// Serves callers and targets until `shutdown` completes, then drains the host and removes it from the control state.
-/// Fails with [`crate::error::Kind::Conflict`] if a newer process with this host's name has joined.
+/// Serves callers and targets until `shutdown` completes or an essential task ends, then drains the host and removes it
+/// from the control state. Fails if a task has ended, and with [`crate::error::Kind::Conflict`] if a newer process with
+/// this host's name has joined.
 pub async fn serve<O: Owners>(
     context: HostContext,
     owners: O,
@@ -84,41 +104,42 @@
     let host = Arc::new(host::Host::new(context, owners));
     host.record(Event::new(EventKind::Started, format!("http={}", host.context.cfg.listen_http)));
     let (closing, closed) = watch::channel(false);
-    let accept = serve::run(host.clone(), listener, http::router(host.clone()), closed);
-    let accept = tokio::spawn(accept);
-    let lease = AbortOnDrop(tokio::spawn(poll::watch_lease(host.clone())));
-    let mut poll = AbortOnDrop(tokio::spawn(poll::run(host.clone())));
+    let (superseded_tx, superseded) = oneshot::channel();
+    let mut tasks = Tasks::default();
+    let router = http::router(host.clone());
+    tasks.spawn(ACCEPT_TASK, serve::run(host.clone(), listener, router, closed));
+    tasks.spawn("lease", poll::watch_lease(host.clone()));
+    tasks.spawn(POLL_TASK, poll_until_superseded(host.clone(), superseded_tx));
+    let mut failure = None;
     let drained = async {
-        shutdown.await;
+        tokio::select! {
+            _ = shutdown => {}
+            it = tasks.ended() => failure = Some(it),
+        }
         stop::drain(&host).await;
     };
     let superseded = tokio::select! {
         () = drained => None,
-        ended = &mut poll.0 => Some(ended.unwrap_or_else(|err| join_error(&err))),
+        Ok(err) = superseded => Some(err),
     };
     closing.send_replace(true);
-    accept.await.map_err(|err| join_error(&err))?;
+    let accepted = tasks.wait(ACCEPT_TASK).await;
     if let Some(err) = superseded {
         host.record(Event::new(EventKind::Stopping, err.to_string()));
         return Err(err);
     }
-    drop(poll);
+    tasks.abort(POLL_TASK);
     stop::release(&host).await;
-    drop(lease);
-    Ok(())
-}
-
-/// A task that is aborted when this handle is dropped.
-struct AbortOnDrop<T>(tokio::task::JoinHandle<T>);
-
-impl<T> Drop for AbortOnDrop<T> {
-    fn drop(&mut self) {
-        self.0.abort();
+    match failure.or(accepted.err()) {
+        Some(failure) => Err(Error::new(crate::error::Kind::Internal, failure.to_string())),
+        None => Ok(()),
     }
 }
 
-fn join_error(err: &tokio::task::JoinError) -> Error {
-    Error::new(crate::error::Kind::Internal, err.to_string())
+/// Polls the control hosts for ever. Sends the error after which this host must stop at once.
+async fn poll_until_superseded<O: Owners>(host: Arc<host::Host<O>>, tx: oneshot::Sender<Error>) {
+    let _ = tx.send(poll::run(host).await);
+    std::future::pending().await
 }
 
 async fn bind(addr: std::net::SocketAddr) -> eyre::Result<TcpListener> {
--- a/tests/entry/stop.rs
+++ b/tests/entry/stop.rs
@@ -11,7 +11,11 @@
 use bytes::Bytes;
 use gentianpass::{
     error::Outcome,
-    wire::caller::{Answer, CALLER_HEADER, Entries, Failure},
+    state::{Change, Object, ObjectKind},
+    wire::{
+        caller::{Answer, CALLER_HEADER, Entries, Failure},
+        control::{Applied, Update},
+    },
 };
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, StatusCode, client::conn::http1};
@@ -152,3 +156,22 @@
     entry.stop();
     entry.ended().await.expect("ended");
 }
+
+/// Guards against an entry host that serves on after the task that polls the control hosts has panicked, and one that ends
+/// without leaving, so that callers go on to use its address. The task's arithmetic overflows, because a control host adds
+/// a change to the last possible revision.
+#[tokio::test(flavor = "multi_thread")]
+async fn polling_panics_host_stops() {
+    let control = control(1, 1).await;
+    let entry = Entry::start(&control, "entry-1").await;
+    let mut last = control.tables(|it| it.config.clone());
+    last.revision = u64::MAX;
+    let object = Object::new(ObjectKind::Zone, "tayside-a");
+    let change = Change::SetLabel { object, key: "a".into(), value: "b".into() };
+    let changes = vec![Applied { revision: 0, at_ms: 1, change }];
+    control.queue_answers([Update::Config(Box::new(last)), Update::Changes(changes)]);
+    let error = entry.ended().await.unwrap_err();
+    assert!(error.message.contains("overflow"), "{error:?}");
+    let is_listed = control.tables(|it| it.config.nodes.contains_key("entry-1"));
+    assert!(!is_listed, "the host has ended without leaving");
+}
