--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -1,6 +1,7 @@
 //! Startup and shutdown of a control host.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, mpsc::sync_channel},
     time::Duration,
 };
@@ -22,6 +23,7 @@
     },
     event::{Event, Kind},
     settings, store,
+    supervise::{Failure, Tasks},
 };
 
 /// Maximum number of queued inputs of the consensus thread. Further requests are rejected as overload, and further Raft
@@ -34,6 +36,9 @@
 /// Timeout of each shutdown step: the transfer of leadership, and the end of the operators' requests in progress.
 const STOP_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The task that serves operators, in logs.
+const HTTP_TASK: &str = "http";
+
 /// Runs a control host until SIGTERM or SIGINT.
 pub fn run(cfg: settings::Control) -> eyre::Result<()> {
     let runtime = Runtime::new()?;
@@ -42,8 +47,8 @@
     result
 }
 
-/// Runs a control host until SIGTERM or SIGINT, or until `interface`, a listener or the consensus thread ends.
-/// `interface` serves another protocol in the same process.
+/// Runs a control host until SIGTERM or SIGINT. Stops in the same way and fails when `interface`, the consensus thread or
+/// another essential task ends. `interface` serves another protocol in the same process.
 pub async fn serve(
     cfg: settings::Control,
     interface: impl AsyncFnOnce(Arc<Host>) -> eyre::Result<()>,
@@ -62,27 +67,31 @@
         let cause = format!("dropped {} bytes of an interrupted log write", opened.torn_bytes);
         host.events.record(Event::new(Kind::StorageFailed, cause));
     }
-    let mut driver = start_driver(&host, log, opened.recovered, inputs_rx)?;
-    tokio::spawn(confirm::run(host.clone(), reads_rx));
+    let driver = start_driver(&host, log, opened.recovered, inputs_rx)?;
     let (stop_tx, stop_rx) = oneshot::channel();
-    let mut http = tokio::spawn(http::serve(host.clone(), listen_http, stop_rx));
-    let mut rpc = tokio::spawn(rpc::serve(host.clone(), listen_rpc));
-    let join = tokio::spawn(join::run(host.clone()));
-    tokio::select! {
-        it = &mut rpc => it?.wrap_err_with(|| format!("RPC listener {listen_rpc}"))?,
-        it = &mut http => it?.wrap_err_with(|| format!("HTTP listener {listen_http}"))?,
-        it = &mut driver => return it
-            .unwrap_or_else(|_| Err(eyre::eyre!("consensus thread panicked"))),
-        it = interface(host.clone()) => it.wrap_err("interface of another protocol")?,
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    host.events.record(Event::new(Kind::Stopping, "signal"));
-    join.abort();
+    let mut tasks = Tasks::default();
+    tasks.spawn("confirm", confirm::run(host.clone(), reads_rx));
+    tasks.spawn(HTTP_TASK, http::serve(host.clone(), listen_http, stop_rx));
+    tasks.spawn("rpc", rpc::serve(host.clone(), listen_rpc));
+    tasks.spawn("join", join::run(host.clone()));
+    let result = tokio::select! {
+        it = driver => it.unwrap_or_else(|_| Err(eyre::eyre!("consensus thread panicked"))),
+        failure = tasks.ended() => Err(with_address(failure, listen_rpc, listen_http)),
+        it = interface(host.clone()) => it.wrap_err("interface of another protocol"),
+        _ = terminate.recv() => Ok(()),
+        _ = interrupt.recv() => Ok(()),
+    };
+    let cause = result.as_ref().err().map_or("signal".into(), |it| format!("{it:#}"));
+    host.events.record(Event::new(Kind::Stopping, cause));
     let _ = timeout(STOP_TIMEOUT, host.call_driver(Input::Stop)).await;
     let _ = stop_tx.send(());
-    let _ = timeout(STOP_TIMEOUT, http).await;
-    Ok(())
+    let _ = timeout(STOP_TIMEOUT, tasks.wait(HTTP_TASK)).await;
+    result
+}
+
+/// Names the listeners' addresses: that one of them is in use is the usual reason why a task of theirs ends.
+fn with_address(failure: Failure, rpc: SocketAddr, http: SocketAddr) -> eyre::Report {
+    eyre::Report::new(failure).wrap_err(format!("control host with RPC at {rpc}, HTTP at {http}"))
 }
 
 /// Starts the consensus thread. The receiver gets its result; it gets nothing if the thread panics.
