relay: compare the configuration with that of other control hosts

A copy that differs from the control hosts' configuration under the same revision, and a control host that answers polls with an old configuration, show in no poll: callers get 404 or the old service from one relay for as long as it lasts, and its age is fresh.

A new call at the end of the control hosts' service, standing, describes the local state of a host without a quorum: name, cluster, applied index, revision, version and digest. Every 2 s a relay asks a control host other than the one that answered its last poll, in turn; neither polls nor submissions wait for it. Other content at the same revision is logged as config_diverged, and the whole configuration is fetched. A newer revision that the relay still lacks 1.5 s later, although a poll sent after it was seen was answered, is logged as config_behind: the poller also leaves its control host (distrust_current). It does so after an update that does not apply as well, so that another control host, if there is one, says what is right before an older configuration is put in force. The digest is computed once per revision on both sides.

A control host of the last release cannot decode the call: it closes the connection and logs peer_rejected. So the audit has connections of its own, logs the first failure, and does not ask a host that failed for 60 s.

Tests, new: audit::other_content_replaced and audit::newer_revision_changes_host, without the corrections: "other content kept" and "still behind", with them both pass; audit::last_release_harmless (one undecodable request in 7 s beside two such hosts, no failed poll); audit::compare_other_content and compare_newer_revision replay both faults on the pure function; standing::standing_agrees_with_polled_copy with processes: equal digests on all three hosts and on a polled copy, and an answer without a quorum.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -16,7 +16,7 @@
     state::{Change, ChangeId, Reply, Revision},
     wire::{
         MAX_FRAME_BYTES,
-        control::{MemberEndpoint, Poll, ServiceClient, Submit, Update},
+        control::{MemberEndpoint, Poll, ServiceClient, Standing, Submit, Update},
     },
 };
 
@@ -78,6 +78,13 @@
         self.check_response(host, response.map(Ok))
     }
 
+    /// Returns the local state of the control host. One of an earlier release closes the connection instead.
+    pub async fn standing(&self) -> Result<Standing> {
+        let (host, client) = self.connect().await?;
+        let response = client.standing(context_with_timeout(CALL_TIMEOUT)).await;
+        self.check_response(host, response.map(Ok))
+    }
+
     /// Submits a change and retries on any error until `timeout`. After an error the change may still have been
     /// committed.
     pub async fn submit(
--- a/src/control/host.rs
+++ b/src/control/host.rs
@@ -26,7 +26,9 @@
     raft::{Index, MemberId, Membership, Role},
     settings,
     state::{Change, Reply, Revision, Tables},
-    wire::control::{Identity, MemberEndpoint, Poll, ProcessId, ServiceClient, Submit, Update},
+    wire::control::{
+        Identity, MemberEndpoint, Poll, ProcessId, ServiceClient, Standing, Submit, Update,
+    },
 };
 
 /// Maximum time that a poll waits for a newer revision.
@@ -82,6 +84,8 @@
     pub revision: watch::Sender<Revision>,
     /// The Raft cluster as this host sees it.
     pub cluster_status: watch::Sender<ClusterStatus>,
+    /// The digest of the configuration at a revision. Locked while `state_machine` is locked.
+    digest: Mutex<Option<(Revision, u64)>>,
     inputs: SyncSender<Input>,
     read_requests: mpsc::Sender<confirm::Request>,
 }
@@ -110,6 +114,7 @@
             applied_index: watch::Sender::new(0),
             revision: watch::Sender::new(0),
             cluster_status: watch::Sender::new(cluster_status),
+            digest: Mutex::default(),
             inputs,
             read_requests,
         }
@@ -246,6 +251,25 @@
             .collect()
     }
 
+    /// Describes the local state, for relays that compare it with what other control hosts have told them.
+    pub fn standing(&self) -> Standing {
+        let cluster = self.cluster_status.borrow().cluster;
+        let state_machine = self.state_machine.lock();
+        let config = &state_machine.tables.config;
+        let mut cached = self.digest.lock();
+        let known = cached.filter(|(revision, _)| *revision == config.revision);
+        let (revision, digest) = known.unwrap_or_else(|| (config.revision, config.digest()));
+        *cached = Some((revision, digest));
+        Standing {
+            name: self.cfg.name.clone(),
+            cluster,
+            applied: state_machine.index,
+            revision,
+            version: config.routes.version,
+            digest,
+        }
+    }
+
     /// The identity that this host reports to other control hosts.
     pub fn identity(&self) -> Identity {
         Identity {
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -23,7 +23,7 @@
         MAX_FRAME_BYTES,
         control::{
             Identity, JoinReply, MemberEndpoint, Poll, ProcessId, Service, ServiceRequest,
-            ServiceResponse, Submit, Update,
+            ServiceResponse, Standing, Submit, Update,
         },
     },
 };
@@ -79,6 +79,10 @@
     async fn propose(self, _: Context, submit: Submit) -> Result<Reply> {
         self.host.propose(submit).await
     }
+
+    async fn standing(self, _: Context) -> Standing {
+        self.host.standing()
+    }
 }
 
 /// Accepts connections until the future is dropped, which also cancels their requests.
--- a/src/lab/control.rs
+++ b/src/lab/control.rs
@@ -17,7 +17,9 @@
     state::Reply,
     wire::{
         MAX_FRAME_BYTES,
-        control::{Identity, JoinReply, MemberEndpoint, Poll, ProcessId, Service, Submit, Update},
+        control::{
+            Identity, JoinReply, MemberEndpoint, Poll, ProcessId, Service, Standing, Submit, Update,
+        },
     },
 };
 
@@ -27,6 +29,17 @@
     fn poll(&self, poll: Poll) -> impl Future<Output = Result<Update>> + Send;
     /// Answers a submitted change.
     fn submit(&self, submit: Submit) -> impl Future<Output = Result<Reply>> + Send;
+    /// Describes the local state. By default it is empty, so that it is never newer than that of another host.
+    fn standing(&self) -> Standing {
+        Standing {
+            name: "stand-in".into(),
+            cluster: None,
+            applied: 0,
+            revision: 0,
+            version: 0,
+            digest: 0,
+        }
+    }
 }
 
 /// Serves the handler on a free loopback port and returns the address.
@@ -84,6 +97,10 @@
     async fn propose(self, _: Context, _: Submit) -> Result<Reply> {
         Err(no_quorum())
     }
+
+    async fn standing(self, _: Context) -> Standing {
+        self.0.standing()
+    }
 }
 
 fn no_quorum() -> Error {
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -35,6 +35,9 @@
 /// How often the addresses of the control hosts are refreshed.
 const MEMBERS_REFRESH_INTERVAL: Duration = Duration::from_secs(2);
 
+/// How often a control host other than the one that answers the polls is asked what it holds.
+pub(super) const AUDIT_INTERVAL: Duration = MEMBERS_REFRESH_INTERVAL;
+
 /// Timeout for submitting a change to the control hosts.
 const SUBMIT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -56,6 +59,15 @@
     Steps,
 }
 
+/// What follows from a comparison with another control host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Correction {
+    /// The copy is replaced by the whole configuration.
+    Reload,
+    /// So it is, but polls leave the control host that answers them.
+    ChangeHost,
+}
+
 /// What the polls tell the task that submits.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Position {
@@ -67,21 +79,46 @@
 
 /// Synchronises this host with the control hosts.
 pub(super) struct ControlSync {
-    host: Arc<Host>,
+    pub(super) host: Arc<Host>,
     position: watch::Sender<Position>,
     /// The control hosts to poll from the next poll on, the preferred ones first.
     new_members: Mutex<Option<Vec<SocketAddr>>>,
+    /// The control hosts that are known.
+    members: Mutex<Vec<SocketAddr>>,
+    /// What to do before the next poll.
+    correction: Mutex<Option<Correction>>,
 }
 
 impl ControlSync {
     pub(super) fn new(host: Arc<Host>) -> Self {
-        Self { host, position: watch::Sender::default(), new_members: Mutex::default() }
+        Self {
+            members: Mutex::new(host.cfg.control.clone()),
+            host,
+            position: watch::Sender::default(),
+            new_members: Mutex::default(),
+            correction: Mutex::default(),
+        }
     }
 
     /// Follows the configuration and submits changes until the task is aborted.
     pub(super) async fn run(&self) {
         freshness::spawn_log(&self.host);
-        tokio::join!(self.follow(), self.submit());
+        tokio::join!(self.follow(), self.submit(), self.audit());
+    }
+
+    /// The control host that answered the last poll; none if no control host could be reached.
+    pub(super) fn polled_host(&self) -> Option<SocketAddr> {
+        self.position.borrow().control_host
+    }
+
+    /// The control hosts that are known.
+    pub(super) fn members(&self) -> Vec<SocketAddr> {
+        self.members.lock().clone()
+    }
+
+    /// Corrects the configuration from the next poll on.
+    pub(super) fn correct(&self, correction: Correction) {
+        *self.correction.lock() = Some(correction);
     }
 
     /// Polls the control hosts and applies what changed.
@@ -98,6 +135,12 @@
                 poller.replace_hosts(&members);
                 poller.prefer_first();
             }
+            if let Some(correction) = self.correction.lock().take() {
+                resync = Resync::Whole;
+                if correction == Correction::ChangeHost {
+                    poller.distrust_current();
+                }
+            }
             let revision = match resync {
                 Resync::Whole => WHOLE_CONFIG_REVISION,
                 Resync::None | Resync::Steps => config.revision,
@@ -111,6 +154,10 @@
                     self.host.freshness.record_answer(poller.current_addr());
                     let next = self.apply_update(&mut config, confirmed, resync);
                     let failed_again = (resync, next) == (Resync::Whole, Resync::Whole);
+                    if next == Resync::Whole {
+                        // Another control host confirms what this one says, or corrects it.
+                        poller.distrust_current();
+                    }
                     resync = next;
                     if failed_again {
                         tokio::time::sleep(RETRY_DELAY).await;
@@ -278,6 +325,9 @@
                 addrs.push(member.rpc);
             }
         }
+        if !addrs.is_empty() {
+            self.members.lock().clone_from(&addrs);
+        }
         *self.new_members.lock() = Some(addrs);
     }
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -9,6 +9,7 @@
 //! those of targets and budgets, the lock of a target's statistics around that of its cold-start limiter, and the lock
 //! of known crashes around that of unreported ones.
 
+mod audit;
 mod buffer;
 mod builder;
 mod call;
@@ -40,6 +41,7 @@
 mod view;
 mod wait;
 
+pub use audit::{Ahead, Own, Verdict, compare};
 pub use buffer::{BufferError, Buffers, MAX_BUFFERED_BYTES, ResponseBuffer};
 pub use choice::{Observation, TargetStats};
 pub use cold_start::{Access, ColdStartLimiter};
--- a/src/wire/control.rs
+++ b/src/wire/control.rs
@@ -104,7 +104,26 @@
     pub incarnation: u64,
 }
 
-/// The RPC service of control hosts. The methods from `identity` on are for other control hosts only.
+/// What a control host holds: its local state, which no other control host has confirmed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Standing {
+    /// The name of the host.
+    pub name: String,
+    /// The id of the cluster that the host belongs to; `None` until it belongs to one.
+    pub cluster: Option<u128>,
+    /// The last log index that it has applied.
+    pub applied: Index,
+    /// The revision of the configuration.
+    pub revision: Revision,
+    /// The version of the route table.
+    pub version: u64,
+    /// The digest of the configuration.
+    pub digest: u64,
+}
+
+/// The RPC service of control hosts. The methods from `identity` to `propose` are for other control hosts only. New methods
+/// are appended, because messages have the position of their method: a process of another release would take one for
+/// another.
 #[tarpc::service]
 pub trait Service {
     /// Waits for configuration changes.
@@ -124,4 +143,7 @@
     async fn read_index(heard: Vec<ProcessId>) -> Result<Index, Error>;
     /// Commits a change if this host is the leader.
     async fn propose(submit: Submit) -> Result<Reply, Error>;
+    /// Describes the local state of this host, without waiting for others. A host of an earlier release closes the
+    /// connection.
+    async fn standing() -> Standing;
 }
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -6,4 +6,5 @@
 mod full_disk;
 mod operators;
 mod polls;
+mod standing;
 mod storage;
--- a/tests/relay/fake_control.rs
+++ b/tests/relay/fake_control.rs
@@ -7,7 +7,7 @@
     lab::control::{self, ControlHandler},
     route::{Limits, Route, Service, Table},
     state::{Change, Config, Reply},
-    wire::control::{Applied, Poll, Submit, Update},
+    wire::control::{Applied, Poll, Standing, Submit, Update},
 };
 use parking_lot::Mutex;
 
@@ -28,12 +28,15 @@
 #[derive(Clone)]
 pub struct FakeControl {
     script: Arc<Mutex<Script>>,
+    standing: Arc<Mutex<Standing>>,
 }
 
 impl FakeControl {
     /// Starts a control host and returns it with its address.
     pub async fn start(script: impl FnMut(&Poll) -> Answer + Send + 'static) -> (Self, SocketAddr) {
-        let control = Self { script: Arc::new(Mutex::new(Box::new(script))) };
+        let script: Script = Box::new(script);
+        let standing = Arc::new(Mutex::new(standing_of(&config(0, 0, Vec::new()))));
+        let control = Self { script: Arc::new(Mutex::new(script)), standing };
         let addr = control::serve(control.clone()).await.unwrap();
         (control, addr)
     }
@@ -42,6 +45,11 @@
     pub fn set_script(&self, script: impl FnMut(&Poll) -> Answer + Send + 'static) {
         *self.script.lock() = Box::new(script);
     }
+
+    /// Claims to hold this configuration from now on.
+    pub fn set_standing(&self, config: &Config) {
+        *self.standing.lock() = standing_of(config);
+    }
 }
 
 impl ControlHandler for FakeControl {
@@ -61,6 +69,22 @@
     async fn submit(&self, _: Submit) -> Result<Reply> {
         Ok(Reply::Applied { revision: 0 })
     }
+
+    fn standing(&self) -> Standing {
+        self.standing.lock().clone()
+    }
+}
+
+/// How a control host with this configuration describes itself.
+pub fn standing_of(config: &Config) -> Standing {
+    Standing {
+        name: "stand-in".into(),
+        cluster: None,
+        applied: config.revision,
+        revision: config.revision,
+        version: config.routes.version,
+        digest: config.digest(),
+    }
 }
 
 /// A configuration with a table of these routes.
--- a/tests/relay/follow.rs
+++ b/tests/relay/follow.rs
@@ -72,22 +72,22 @@
     assert_eq!(lines, [2_750, 3_750, 4_750, 5_750, 6_750, 7_750, 8_750, 9_750]);
 }
 
-/// The value of a metric without labels.
-fn metric(harness: &Harness, name: &str) -> Option<u64> {
+/// The value of a metric; with its labels, if it has any.
+pub fn metric(harness: &Harness, name: &str) -> Option<u64> {
     let text = harness.relay.metrics();
     let mut values = text.lines().filter_map(|it| it.strip_prefix(name)?.trim().parse().ok());
     values.next()
 }
 
-const CONFIG_AGE_MS: &str = "gentianpass_relay_config_unconfirmed_milliseconds";
+pub const CONFIG_AGE_MS: &str = "gentianpass_relay_config_unconfirmed_milliseconds";
 
 /// A route under this prefix whose service has no targets.
-fn route(prefix: &str) -> Route {
+pub fn route(prefix: &str) -> Route {
     Route { name: prefix.into(), prefix: prefix.into(), ..single(Kind::Idempotent) }
 }
 
 /// Waits until the relay knows the route under this prefix.
-async fn wait_for_route(harness: &Harness, prefix: &str, limit: Duration) -> bool {
+pub async fn wait_for_route(harness: &Harness, prefix: &str, limit: Duration) -> bool {
     let known = async {
         while harness.get(prefix).await.0 == StatusCode::NOT_FOUND {
             sleep(Duration::from_millis(20)).await;
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -1,5 +1,6 @@
 //! A relay between a stub control host and stub targets: what callers receive and what reaches the targets.
 
+mod audit;
 mod choice;
 mod cold_start;
 mod delegate;
