--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -8,4 +8,5 @@
 mod operators;
 mod polls;
 mod raft_transport;
+mod standing;
 mod storage;
