process: log panics instead of writing them to standard error

The message of a panic was written to standard error by the thread that panicked, in a relay the only thread of the runtime. If nobody reads standard error and it is full, that write never returns: a panic that would cost one connection stops the process for good, with its sockets open. The test panic_blocked_stderr, whose process panics while its standard error is full, failed before with "the process hangs"; the thread was in a write to descriptor 2.

--- a/src/process.rs
+++ b/src/process.rs
@@ -94,7 +94,7 @@
 }
 
 /// Sets up logging to standard output through a queue and a writer thread. If standard output blocks and the queue
-/// fills up, lines are dropped; their number is logged when there is room again.
+/// fills up, lines are dropped; their number is logged when there is room again. Panics are logged in the same way.
 pub fn log_to_stdout() {
     let (tx, rx) = sync_channel::<Vec<u8>>(LOG_QUEUE_LINES);
     std::thread::spawn(move || {
@@ -109,6 +109,17 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(event::LOG_FILTER))
         .target(env_logger::Target::Pipe(Box::new(QueuedWriter { tx, dropped: 0 })))
         .init();
+    log_panics();
+}
+
+/// Logs panics instead of writing them to standard error, which may be a pipe that nobody reads: the write would block the
+/// thread of the runtime for good.
+fn log_panics() {
+    std::panic::set_hook(Box::new(|info| {
+        let at = info.location().map_or_else(|| "?".to_owned(), ToString::to_string);
+        let cause = info.payload_as_str().unwrap_or("no message");
+        log::error!("event=panicked at={at} cause={cause:?}");
+    }));
 }
 
 /// Handles SIGHUP by logging it, because by default the signal would terminate the process. Settings are not reloaded.
--- a/tests/supervise/main.rs
+++ b/tests/supervise/main.rs
@@ -1,12 +1,19 @@
 //! Supervision: which tasks end a process, and when a task counts as stuck.
 
 use std::{
+    env,
     future::pending,
+    io::Write,
+    os::{fd::OwnedFd, unix::net::UnixStream},
+    process::{Command, Stdio},
     sync::atomic::{AtomicU64, Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
-use gentianpass::supervise::{Failure, Tasks, Watched, max_round_ticks, watch};
+use gentianpass::{
+    process,
+    supervise::{Failure, Tasks, Watched, max_round_ticks, watch},
+};
 use tokio::time::{sleep, timeout};
 
 const TICK: Duration = Duration::from_millis(10);
@@ -106,3 +113,41 @@
     assert!(matches!(failure, Failure::Stuck { task: "works", .. }), "{failure:?}");
     assert_eq!(rounds.load(Ordering::Relaxed), 5);
 }
+
+/// Set for the child process of [`panic_blocked_stderr`].
+const CHILD_VARIABLE: &str = "GENTIANPASS_TEST_PANIC";
+
+/// Guards against a process that hangs for good in a write to its standard error, which nobody reads, when a task panics.
+#[test]
+fn panic_blocked_stderr() {
+    if env::var_os(CHILD_VARIABLE).is_some() {
+        process::log_to_stdout();
+        assert!(std::thread::spawn(|| panic!("fault")).join().is_err());
+        // The log holds the lock of standard output, for which the test harness would wait.
+        std::process::exit(0);
+    }
+    let (mut writer, _reader) = UnixStream::pair().unwrap();
+    writer.set_nonblocking(true).unwrap();
+    while writer.write(&[b'x'; 4096]).is_ok() {}
+    writer.set_nonblocking(false).unwrap();
+    let mut child = Command::new(env::current_exe().unwrap())
+        .args(["--exact", "--nocapture", "panic_blocked_stderr"])
+        .env(CHILD_VARIABLE, "1")
+        .stdout(Stdio::null())
+        .stderr(OwnedFd::from(writer))
+        .spawn()
+        .unwrap();
+    let end = Instant::now() + Duration::from_secs(10);
+    let status = loop {
+        if let Some(status) = child.try_wait().unwrap() {
+            break status;
+        }
+        if Instant::now() > end {
+            child.kill().unwrap();
+            child.wait().unwrap();
+            panic!("the process hangs");
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    assert!(status.success(), "{status}");
+}
