--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -139,7 +139,7 @@
 /// Polls the control hosts for ever. Sends the error after which this host must stop at once.
 async fn poll_until_superseded<O: Owners>(host: Arc<host::Host<O>>, tx: oneshot::Sender<Error>) {
     let _ = tx.send(poll::run(host).await);
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
 
 async fn bind(addr: std::net::SocketAddr) -> eyre::Result<TcpListener> {
