relay: requests wait for the first polls of a process that stood still

Callers saw, from a relay that had stood still for longer than configApplyMs, answers by its old configuration until its first poll: 404 for an added route, and requests run by a service that a route no longer leads to. The process cannot know how long it stood, but its age tells: it exceeds the limit although hardly any poll has ended since. Such a relay now lets requests wait for its polls, at most 300 ms, and then refuses them with 503. A relay that cannot reach the control hosts does not wait, because its polls have failed, and goes on with known routes.

The poll that was open may fail first, so that two ended polls are awaited.

--- a/src/relay/freshness.rs
+++ b/src/relay/freshness.rs
@@ -7,6 +7,7 @@
 };
 
 use parking_lot::Mutex;
+use tokio::{sync::watch, time::timeout};
 
 use crate::relay::host::Host;
 
@@ -26,6 +27,18 @@
     age > LATE_CONFIG_AGE && logged_at.is_none_or(waited)
 }
 
+/// How long a request waits for the first polls of a process that stood still. A poll takes a few round trips.
+const PAUSE_END_WAIT: Duration = Duration::from_millis(300);
+
+/// The poll that was open while a process stood still may fail, because its time is over. The next one decides.
+const POLLS_AFTER_PAUSE: u64 = 2;
+
+/// Whether a poll may bring another configuration in a moment: the age exceeds the limit although hardly any poll has ended
+/// since the last confirmation, so that this process stood still.
+pub fn is_poll_awaited(age: Duration, max_age: Duration, ended_polls: u64) -> bool {
+    age > max_age && ended_polls < POLLS_AFTER_PAUSE
+}
+
 /// What the polls tell of the configuration.
 #[derive(Default)]
 struct State {
@@ -45,11 +58,17 @@
 pub(super) struct Freshness {
     started_at: Instant,
     state: Mutex<State>,
+    /// Changes when a poll has ended, well or badly.
+    ended_poll: watch::Sender<()>,
 }
 
 impl Freshness {
     pub(super) fn new() -> Self {
-        Self { started_at: Instant::now(), state: Mutex::default() }
+        Self {
+            started_at: Instant::now(),
+            state: Mutex::default(),
+            ended_poll: watch::Sender::default(),
+        }
     }
 
     /// Records that a control host has answered a poll.
@@ -64,6 +83,8 @@
         let mut state = self.state.lock();
         state.failed += 1;
         state.failure = Some(cause.to_owned());
+        drop(state);
+        self.ended_poll.send_replace(());
     }
 
     /// Records that an answer could not be applied.
@@ -77,9 +98,31 @@
         let mut state = self.state.lock();
         let before = state.confirmed_at.replace(sent_at);
         (state.answered, state.failed, state.failure) = (0, 0, None);
+        drop(state);
+        self.ended_poll.send_replace(());
         (before.unwrap_or(self.started_at).elapsed(), before.is_some())
     }
 
+    /// Waits for a short time until polls tell what is in force, if this process stood still for longer than `max_age`.
+    /// Returns false if they have not told by then.
+    pub(super) async fn polls_after_pause(&self, max_age: Duration) -> bool {
+        let mut ended_poll = self.ended_poll.subscribe();
+        let polled = async {
+            while is_poll_awaited(self.age(), max_age, self.ended_polls()) {
+                if ended_poll.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        timeout(PAUSE_END_WAIT, polled).await.is_ok()
+    }
+
+    /// The number of polls that have ended since the last confirmation.
+    fn ended_polls(&self) -> u64 {
+        let state = self.state.lock();
+        state.answered + state.failed
+    }
+
     /// When the poll that last confirmed the configuration was sent; none before the first one.
     pub(super) fn confirmed_at(&self) -> Option<Instant> {
         self.state.lock().confirmed_at
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -123,16 +123,23 @@
     }
 
     /// The current view, once there is a routing table. A process that has just started gets one soon, so a request
-    /// waits for it for a part of the time that its caller has left. `None` if there is none by then.
-    pub(super) async fn ready_view(&self, headers: &HeaderMap) -> Option<Arc<View>> {
+    /// waits for it for a part of the time that its caller has left. A process that stood still may hold an old table, so
+    /// a request waits for its first polls. The error is the reason why there is no usable table by then.
+    pub(super) async fn ready_view(&self, headers: &HeaderMap) -> Result<Arc<View>, &'static str> {
         let mut has_routes = self.has_routes.subscribe();
         if !*has_routes.borrow() {
             let left = headers.get(&self.cfg.headers.deadline);
             let left_ms = left.and_then(|it| it.to_str().ok()?.parse().ok()).unwrap_or(0);
             let wait = Duration::from_millis(left_ms) / ROUTES_WAIT_DIVISOR;
-            timeout(wait, has_routes.wait_for(|it| *it)).await.ok()?.ok()?;
+            let received = timeout(wait, has_routes.wait_for(|it| *it)).await;
+            if !matches!(received, Ok(Ok(_))) {
+                return Err("no_routes");
+            }
         }
-        Some(self.view())
+        if !self.freshness.polls_after_pause(self.cfg.max_config_age).await {
+            return Err("config_unconfirmed");
+        }
+        Ok(self.view())
     }
 
     pub(super) fn view(&self) -> Arc<View> {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -46,7 +46,7 @@
 pub use choice::{Observation, TargetStats};
 pub use cold_start::{Access, ColdStartLimiter};
 pub use directory::AddressQuery;
-pub use freshness::{LATE_CONFIG_AGE, is_log_due};
+pub use freshness::{LATE_CONFIG_AGE, is_log_due, is_poll_awaited};
 pub use host::Host;
 pub use records::merge_records;
 pub use run::{create, run, run_with};
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -258,8 +258,9 @@
     body: Bytes,
 ) -> Response<Full<Bytes>> {
     let arrived = Instant::now();
-    let Some(view) = host.ready_view(&head.headers).await else {
-        return response::not_ready("no_routes");
+    let view = match host.ready_view(&head.headers).await {
+        Ok(view) => view,
+        Err(cause) => return response::not_ready(cause),
     };
     let request_id = head.headers.get(&host.cfg.headers.request_id).cloned();
     let query = match Query::resolve(host, view.clone(), connection, head, body, arrived) {
--- a/tests/relay/follow.rs
+++ b/tests/relay/follow.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use gentianpass::{
-    relay::{DEFAULT_MAX_CONFIG_AGE, LATE_CONFIG_AGE, is_log_due},
+    relay::{DEFAULT_MAX_CONFIG_AGE, LATE_CONFIG_AGE, is_log_due, is_poll_awaited},
     route::{Kind, Route},
     state::Change,
     wire::control::Poll,
@@ -213,3 +213,14 @@
     };
     timeout(WAIT_TIMEOUT, confirmed).await.expect("confirmed again");
 }
+
+/// Guards against requests that wait for polls while no control host answers: only a process that stood still waits.
+#[test]
+fn is_poll_awaited_pause_and_outage() {
+    let max_age = DEFAULT_MAX_CONFIG_AGE;
+    let paused = max_age + Duration::from_millis(1);
+    assert!(is_poll_awaited(paused, max_age, 0), "no poll has ended since the pause");
+    assert!(is_poll_awaited(paused, max_age, 1), "the poll that was open has failed");
+    assert!(!is_poll_awaited(paused, max_age, 2), "control hosts do not answer");
+    assert!(!is_poll_awaited(max_age, max_age, 0), "the configuration is fresh");
+}
