--- a/src/relay/audit.rs
+++ b/src/relay/audit.rs
@@ -85,7 +85,6 @@
 /// What is known of the control hosts that can be asked.
 #[derive(Default)]
 struct Peers {
-    clients: HashMap<SocketAddr, Client>,
     asked_at: HashMap<SocketAddr, Instant>,
     failed_at: HashMap<SocketAddr, Instant>,
 }
@@ -93,7 +92,6 @@
 impl Peers {
     /// The control host to ask: the one that was asked longest ago, of those that did not fail lately.
     fn next(&mut self, members: &[SocketAddr], polled: SocketAddr) -> Option<SocketAddr> {
-        self.clients.retain(|addr, _| members.contains(addr));
         self.asked_at.retain(|addr, _| members.contains(addr));
         self.failed_at.retain(|addr, _| members.contains(addr));
         let has_failed =
@@ -105,8 +103,8 @@
     /// Asks a control host. Logs the first failure only.
     async fn ask(&mut self, addr: SocketAddr) -> Option<Standing> {
         self.asked_at.insert(addr, Instant::now());
-        let client = self.clients.entry(addr).or_insert_with(|| Client::new(vec![addr]));
-        match client.standing().await {
+        // The connection is closed again: each relay asks all control hosts in turn.
+        match Client::new(vec![addr]).standing().await {
             Ok(standing) => {
                 self.failed_at.remove(&addr);
                 Some(standing)
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -11,7 +11,7 @@
 use crate::{
     event::{Event, Kind},
     relay::{delegate, follow::ControlSync, host::Host, server, settings::Settings, stop},
-    supervise::{self, Tasks, WATCH_INTERVAL},
+    supervise::{self, MAX_ROUND_TICKS, Tasks, WATCH_INTERVAL},
 };
 
 /// The task that polls the control hosts and submits changes, in logs.
@@ -50,7 +50,7 @@
             FOLLOW_TASK,
             WATCH_INTERVAL,
             || host.metrics.poll_rounds(),
-            || max_idle_ticks(&host),
+            MAX_ROUND_TICKS,
         ) => Some(failure),
     };
     let Some(failure) = failure else {
@@ -66,8 +66,3 @@
 async fn follow(host: Arc<Host>) {
     ControlSync::new(host).run().await;
 }
-
-/// The number of ticks of the watchdog within which a round of polls ends, well or badly.
-fn max_idle_ticks(host: &Host) -> u32 {
-    supervise::max_round_ticks(host.cfg.control.len() + host.view().nodes.len())
-}
--- a/src/supervise.rs
+++ b/src/supervise.rs
@@ -16,18 +16,9 @@
 /// How often [`watch`] looks at the progress of a task.
 pub const WATCH_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The number of ticks within which a round of polls of few control hosts ends.
-const MIN_ROUND_TICKS: u32 = 10;
-
-/// A round of polls asks one silent control host after the other. This many of them take at most one more tick.
-const HOSTS_PER_TICK: u32 = 4;
-
-/// The number of ticks within which a round of polls ends, well or badly, at most, if this many control hosts are known. A
-/// round that fails because none of them answers is no reason to end the process.
-pub fn max_round_ticks(control_hosts: usize) -> u32 {
-    let hosts = u32::try_from(control_hosts).unwrap_or(u32::MAX);
-    MIN_ROUND_TICKS + hosts.div_ceil(HOSTS_PER_TICK)
-}
+/// The number of ticks within which a round of polls ends, well or badly. A round that fails because no control host answers
+/// takes a few seconds, and is no reason to end the process.
+pub const MAX_ROUND_TICKS: u32 = 10;
 
 /// Why a process cannot go on.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -165,7 +156,7 @@
     task: &'static str,
     interval: Duration,
     progress: impl Fn() -> u64,
-    max_idle_ticks: impl Fn() -> u32,
+    max_idle_ticks: u32,
 ) -> Failure {
     let mut ticks = tokio::time::interval(interval);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -177,7 +168,7 @@
         if now != last_progress.0 {
             last_progress = (now, Instant::now());
         }
-        if watched.tick(now, max_idle_ticks()) {
+        if watched.tick(now, max_idle_ticks) {
             let stuck_for = last_progress.1.elapsed();
             log::error!("event=task_stuck task={task} stuck_ms={}", stuck_for.as_millis());
             return Failure::Stuck { task, stuck_for };
--- a/tests/relay/supervision.rs
+++ b/tests/relay/supervision.rs
@@ -123,7 +123,7 @@
     let grace = settings.grace_period;
     let mut tasks = Tasks::default();
     tasks.spawn("never", pending::<()>());
-    let stuck = supervise::watch("never", Duration::from_millis(50), || 0, || 10);
+    let stuck = supervise::watch("never", Duration::from_millis(50), || 0, 10);
     tasks.spawn("watchdog", async { Err::<(), _>(stuck.await) });
     let running = relay::run_with(relay::create(settings), tasks);
     let result = timeout(4 * grace, running).await.expect("runs on");
--- a/tests/supervise/main.rs
+++ b/tests/supervise/main.rs
@@ -12,7 +12,7 @@
 
 use gentianpass::{
     process,
-    supervise::{Failure, Tasks, Watched, max_round_ticks, watch},
+    supervise::{Failure, MAX_ROUND_TICKS, Tasks, Watched, watch},
 };
 use tokio::time::{sleep, timeout};
 
@@ -82,15 +82,13 @@
     assert_eq!(stuck, [false, false, false, false, false, false, false, false, true]);
 }
 
-/// Guards against a relay that ends because it reaches no control host: a round of polls sends one after the other, 200 ms
-/// apart, and ends 1.2 s after the last; the first one may be asked to wait for 1 s.
+/// Guards against a relay that ends because it reaches no control host. The first one may be asked to wait for 1 s, all others
+/// are asked within another second, and each has 1.2 s to fail.
 #[test]
 fn max_round_ticks_outlasts_round() {
-    for hosts in 0..200_u64 {
-        let round_ms = 1_000 + 200 * hosts + 1_200 + 100;
-        let allowed_ms = u64::from(max_round_ticks(hosts as usize)) * 1_000;
-        assert!(allowed_ms > 2 * 1_000 + round_ms, "{hosts} control hosts: {allowed_ms} ms");
-    }
+    let round_ms = 1_000 + 1_000 + 1_200 + 100;
+    let allowed_ms = u64::from(MAX_ROUND_TICKS) * 1_000;
+    assert!(allowed_ms > 2 * 1_000 + round_ms, "{allowed_ms} ms");
 }
 
 /// Guards against a process that goes on with a task that waits for ever, and against the end of one whose task works
@@ -105,7 +103,7 @@
         }
         pending::<()>().await;
     };
-    let watch = watch("works", TICK, || rounds.load(Ordering::Relaxed), || 20);
+    let watch = watch("works", TICK, || rounds.load(Ordering::Relaxed), 20);
     let failure = tokio::select! {
         () = work => unreachable!(),
         it = timeout(100 * 20 * TICK, watch) => it.expect("not noticed"),
