relay: bound the connections of callers by the limit of descriptors

Callers saw routes of an old configuration: their kept connections used up the descriptors of a relay, which kept its open poll connection and could connect to no control host when that one was replaced. Descriptors became free only when callers closed connections or their idle time was over.

A connection beyond the bound replaces the one that has been idle longest, which is shut down gracefully; while requests run on all of them the new one is closed at once. Connections that have sent nothing count as well. accept_failed, which came every 10 ms while descriptors were short, is logged at most once a second, with a count.

The in-process tests use the new setting, so they do not build on the code before.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,9 +3,11 @@
 
 pub mod cmd;
 pub mod control;
+pub mod descriptors;
 pub mod entry;
 pub mod error;
 pub mod event;
+pub mod inbound;
 pub mod lab;
 pub mod lease;
 pub mod metric;
--- a/src/relay/delegate.rs
+++ b/src/relay/delegate.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::{
+    inbound::Listener,
     relay::{
         call,
         gather::ShardResults,
@@ -21,7 +22,6 @@
         peer::PeerConnection,
         records::merge_records,
         request::{CallerConnection, Query},
-        server,
         view::ServiceKey,
     },
     route::To,
@@ -30,8 +30,9 @@
 
 /// Accepts connections until the future is dropped. Connections that are already open keep running.
 pub(super) async fn serve(host: Arc<Host>, listener: TcpListener) {
+    let mut listener = Listener::new(listener);
     loop {
-        let stream = server::accept(&listener).await;
+        let stream = listener.accept().await;
         let host = host.clone();
         tokio::spawn(async move {
             if let Err(err) = serve_connection(&host, stream).await {
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     event::{Event, Kind, Ring, unix_ms},
+    inbound::Connections,
     metric,
     relay::{
         buffer::Buffers, builder::Builder, freshness::Freshness, metrics::Metrics, peer::Peers,
@@ -57,6 +58,8 @@
     pub(super) close_connections: Notify,
     /// Tells the listener for callers to accept what waits in its backlog and to close.
     pub(super) stop_accepting: Notify,
+    /// Connections of callers.
+    pub(super) callers: Arc<Connections>,
     /// Connections to the other relays.
     pub(super) peers: Peers,
     /// Bodies of responses that are being received.
@@ -94,6 +97,7 @@
             submit_now: Notify::new(),
             close_connections: Notify::new(),
             stop_accepting: Notify::new(),
+            callers: Arc::new(Connections::new("callers", cfg.max_callers())),
             peers: Peers::default(),
             buffers: Buffers::default(),
             suspects: Suspects::default(),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -48,7 +48,7 @@
 pub use host::Host;
 pub use records::merge_records;
 pub use run::{create, run, run_with};
-pub use settings::{DEFAULT_MAX_CONFIG_AGE, Headers, Settings};
+pub use settings::{DEFAULT_MAX_CONFIG_AGE, DEFAULT_MAX_DESCRIPTORS, Headers, Settings};
 pub use split::SplitPicker;
 pub use typical::LatencyEstimate;
 pub use view::{COLD_LABEL, SERVICE_LABEL};
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -23,15 +23,15 @@
     time::timeout,
 };
 
-use crate::relay::{
-    host::Host,
-    request::{self, CallerConnection},
-    response,
+use crate::{
+    inbound::{Listener, Slot},
+    relay::{
+        host::Host,
+        request::{self, CallerConnection},
+        response,
+    },
 };
 
-/// Delay after a connection could not be accepted.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
-
 /// The smallest buffer size that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -45,35 +45,30 @@
 /// Accepts connections until `Host::stop_accepting` is signalled, then those that wait in the backlog: closing the
 /// listener would reset them, although their requests may have arrived. Connections that are open keep running.
 pub(super) async fn serve(host: Arc<Host>, listener: TcpListener) {
+    let mut listener = Listener::new(listener);
     loop {
         let stream = tokio::select! {
-            stream = accept(&listener) => stream,
+            stream = listener.accept() => stream,
             () = host.stop_accepting.notified() => break,
         };
-        tokio::spawn(serve_connection(host.clone(), stream));
+        start_connection(&host, stream);
     }
     let end = Instant::now() + BACKLOG_MAX;
     while Instant::now() < end
-        && let Ok(stream) = timeout(BACKLOG_EMPTY_AFTER, accept(&listener)).await
+        && let Ok(stream) = timeout(BACKLOG_EMPTY_AFTER, listener.accept()).await
     {
-        tokio::spawn(serve_connection(host.clone(), stream));
+        start_connection(&host, stream);
     }
 }
 
-/// Accepts the next connection. Errors are logged and the call is repeated.
-pub(super) async fn accept(listener: &TcpListener) -> TcpStream {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => return stream,
-            Err(err) => {
-                log::warn!("event=accept_failed cause={err:?}");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
+/// Serves a connection, or closes it if there are too many.
+fn start_connection(host: &Arc<Host>, stream: TcpStream) {
+    if let Some(slot) = host.callers.admit(Instant::now()) {
+        tokio::spawn(serve_connection(host.clone(), slot, stream));
     }
 }
 
-async fn serve_connection(host: Arc<Host>, stream: TcpStream) {
+async fn serve_connection(host: Arc<Host>, slot: Slot, stream: TcpStream) {
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("event=connection_ended cause={err:?}");
         return;
@@ -83,7 +78,13 @@
     // hyper measures the time for reading a header from the end of the previous response, so the limit must include the
     // idle time.
     let idle = Duration::from_millis(limits.idle_ms.saturating_add(limits.header_ms));
-    if !matches!(timeout(idle, stream.peek(&mut [0])).await, Ok(Ok(1))) {
+    let mut first = [0];
+    let has_request = tokio::select! {
+        biased;
+        it = timeout(idle, stream.peek(&mut first)) => matches!(it, Ok(Ok(1))),
+        () = slot.close_requested() => false,
+    };
+    if !has_request {
         return;
     }
     let _guard = host.track_connection();
@@ -93,6 +94,7 @@
         let reused = used.swap(true, Ordering::Relaxed);
         handle(
             &host,
+            &slot,
             if reused { CallerConnection::Reused } else { CallerConnection::New },
             request,
         )
@@ -105,11 +107,16 @@
     tokio::pin!(conn);
     let shutdown = host.close_connections.notified();
     tokio::pin!(shutdown);
-    let result = tokio::select! {
+    let ended = tokio::select! {
         // Reads first: a connection on which a request has arrived is not idle.
         biased;
-        result = conn.as_mut() => result,
-        () = &mut shutdown => {
+        result = conn.as_mut() => Some(result),
+        () = &mut shutdown => None,
+        () = slot.close_requested() => None,
+    };
+    let result = match ended {
+        Some(result) => result,
+        None => {
             conn.as_mut().graceful_shutdown();
             conn.await
         }
@@ -121,10 +128,11 @@
 
 async fn handle(
     host: &Arc<Host>,
+    slot: &Slot,
     connection: CallerConnection,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
-    let _guard = host.track_request();
+    let _guard = (slot.start_request(), host.track_request());
     let (head, body) = request.into_parts();
     let limit = usize::try_from(host.view().table.limits.body_bytes).unwrap_or(usize::MAX);
     if body.is_end_stream() {
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -4,9 +4,18 @@
 
 use hyper::header::HeaderName;
 
+use crate::descriptors;
+
 /// Default of [`Settings::max_config_age`].
 pub const DEFAULT_MAX_CONFIG_AGE: Duration = Duration::from_millis(3_000);
 
+/// Default of [`Settings::max_descriptors`].
+pub const DEFAULT_MAX_DESCRIPTORS: u64 = 4_096;
+
+/// The share of the descriptors that connections of callers may use, in percent. The rest is for targets, other relays and
+/// control hosts.
+const CALLERS_PERCENT: u64 = 60;
+
 /// Names of the headers that callers, relays and targets exchange.
 #[derive(Clone, Debug)]
 pub struct Headers {
@@ -59,6 +68,8 @@
     pub max_config_age: Duration,
     /// The time from the signal to stop until the process is killed.
     pub grace_period: Duration,
+    /// The number of descriptors that the process may have open, if the operating system has no lower limit.
+    pub max_descriptors: u64,
 }
 
 impl Settings {
@@ -67,6 +78,11 @@
         self.region(&self.zone)
     }
 
+    /// The number of connections that callers may keep open.
+    pub(super) fn max_callers(&self) -> usize {
+        (descriptors::limit(self.max_descriptors) * CALLERS_PERCENT / 100) as usize
+    }
+
     /// The region of an availability zone, or the zone itself if its region is unknown.
     pub fn region<'a>(&'a self, zone: &'a str) -> &'a str {
         self.regions.get(zone).map_or(zone, String::as_str)
--- /dev/null
+++ b/tests/relay/descriptors.rs
@@ -0,0 +1,120 @@
+//! Connections that callers keep, of which there are more than the relay may have open.
+
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use gentianpass::{
+    inbound::{Activity, Admission, LogLimit, admit},
+    route::Kind,
+};
+use hyper::StatusCode;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+use crate::support::{Behaviour, Harness, StubTarget, record, single};
+
+/// The limit of descriptors in the settings, of which callers may use six tenths.
+const MAX_DESCRIPTORS: u64 = 40;
+const MAX_CALLERS: usize = 24;
+
+/// Guards against a choice that closes a connection with a running request, or the one that was used last, and against a
+/// new connection that is served beyond the bound while the others are busy or do not close.
+#[test]
+fn admit_full() {
+    let start = Instant::now();
+    let idle = |ms| Activity::Idle(start + Duration::from_millis(ms));
+    let choose = |it: &[Activity]| admit(it.iter().copied().enumerate(), 3);
+    assert_eq!(choose(&[idle(1), Activity::Busy]), Admission::Admit);
+    assert_eq!(choose(&[idle(5), idle(3), idle(4)]), Admission::Replace(1));
+    assert_eq!(choose(&[Activity::Busy, idle(9), Activity::Busy]), Admission::Replace(1));
+    assert_eq!(choose(&[Activity::Busy; 3]), Admission::Refuse);
+    assert_eq!(choose(&[Activity::Closing, idle(1), idle(2)]), Admission::Admit);
+    assert_eq!(choose(&[Activity::Closing, idle(1), idle(2), idle(3)]), Admission::Refuse);
+}
+
+/// Guards against a log with a line for each failure: a relay without descriptors cannot accept a connection a hundred
+/// times a second.
+#[test]
+fn record_each_10_ms() {
+    let start = Instant::now();
+    let mut limit = LogLimit::default();
+    let lines = (0..250).filter_map(|it| limit.record(start + Duration::from_millis(10 * it)));
+    assert_eq!(lines.collect::<Vec<_>>(), [1, 100, 100]);
+}
+
+async fn send(stream: &mut TcpStream, path: &str) {
+    let head = format!(
+        "GET {path} HTTP/1.1\r\nhost: labels.example\r\nrequest-id: q\r\ndeadline: 3000\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+}
+
+/// Reads what the relay sends until nothing follows for some time. Whether the connection is still open is the second
+/// value.
+async fn received(stream: &mut TcpStream) -> (String, bool) {
+    let mut text = Vec::new();
+    loop {
+        match timeout(Duration::from_millis(200), stream.read_buf(&mut text)).await {
+            Ok(Ok(0) | Err(_)) => return (String::from_utf8(text).unwrap(), false),
+            Ok(Ok(_)) => (),
+            Err(_) => return (String::from_utf8(text).unwrap(), true),
+        }
+    }
+}
+
+async fn start() -> (Harness, StubTarget) {
+    let harness = Harness::start_with(|it| it.max_descriptors = MAX_DESCRIPTORS).await;
+    let target = StubTarget::start(Behaviour::Answer(record(1))).await;
+    for i in 0..8 {
+        harness.announce(&format!("a{i}"), "s", "near", target.addr);
+    }
+    harness.put_routes(vec![single(Kind::Idempotent)]).await;
+    (harness, target)
+}
+
+/// Guards against callers that keep connections, used or not, until the relay has no descriptor for a control host.
+#[tokio::test]
+async fn kept_connections_bounded() {
+    let (harness, _target) = start().await;
+    let mut kept = Vec::new();
+    for i in 0..3 * MAX_CALLERS {
+        let mut stream = TcpStream::connect(harness.addr).await.unwrap();
+        if i % 2 == 0 {
+            send(&mut stream, "/one/x").await;
+            let mut text = [0; 12];
+            stream.read_exact(&mut text).await.unwrap();
+            assert_eq!(&text, b"HTTP/1.1 200", "request {i}");
+        }
+        kept.push(stream);
+    }
+    let open = join_all(kept.iter_mut().map(received)).await.into_iter().map(|(_, it)| it);
+    let open: Vec<_> = open.enumerate().filter_map(|(i, it)| it.then_some(i)).collect();
+    assert_eq!(open, Vec::from_iter(2 * MAX_CALLERS..3 * MAX_CALLERS), "those used last");
+    assert_eq!(harness.get("/one/x").await.0, StatusCode::OK);
+}
+
+/// Guards against a running request that is cut off to make room, and against a caller that waits while there is none.
+#[tokio::test]
+async fn running_requests_kept() {
+    let (harness, target) = start().await;
+    let slow = Behaviour::Slow(Duration::from_millis(1_500), record(2));
+    *target.behaviour.lock() = slow;
+    let mut running = Vec::new();
+    for _ in 0..MAX_CALLERS {
+        let mut stream = TcpStream::connect(harness.addr).await.unwrap();
+        send(&mut stream, "/one/x").await;
+        running.push(stream);
+    }
+    sleep(Duration::from_millis(200)).await;
+    let mut refused = TcpStream::connect(harness.addr).await.unwrap();
+    let (text, is_open) = received(&mut refused).await;
+    assert!(text.is_empty() && !is_open, "not refused: {text}");
+    sleep(Duration::from_millis(1_500)).await;
+    for (text, is_open) in join_all(running.iter_mut().map(received)).await {
+        assert!(text.starts_with("HTTP/1.1 200") && is_open, "{text}");
+    }
+    assert_eq!(harness.get("/one/x").await.0, StatusCode::OK);
+}
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod cold_start;
 mod delegate;
+mod descriptors;
 mod directory;
 mod fake_control;
 mod follow;
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -513,6 +513,7 @@
         address_ttl: Duration::from_secs(1),
         max_config_age: relay::DEFAULT_MAX_CONFIG_AGE,
         grace_period: Duration::from_secs(2),
+        max_descriptors: relay::DEFAULT_MAX_DESCRIPTORS,
     }
 }
 
