relay: bound the idle connections to relays and targets, and close unused ones

A relay kept idle connections to another relay without a bound and took the newest first, so those below stayed open after their time; the other side waited on each without a limit. Descriptors that were taken in a burst were never given back.

Idle connections now expire when another one is put or taken, and their number per relay (32) and per target (128) is bounded. A connection on which another relay sends nothing for twice the idle time is closed.

tests/relay descriptors::idle_connections_reused and descriptors::peer_connection_unused pass.

--- a/src/inbound.rs
+++ b/src/inbound.rs
@@ -3,6 +3,7 @@
 
 use std::{
     io,
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -107,10 +108,10 @@
     }
 
     /// Accepts the next connection.
-    pub async fn accept(&mut self) -> TcpStream {
+    pub async fn accept(&mut self) -> (TcpStream, SocketAddr) {
         loop {
             match self.inner.accept().await {
-                Ok((stream, _)) => return stream,
+                Ok(accepted) => return accepted,
                 Err(err) => self.record_failure(&err).await,
             }
         }
--- a/src/relay/delegate.rs
+++ b/src/relay/delegate.rs
@@ -10,7 +10,7 @@
 use hyper::Request;
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::sleep_until,
+    time::{sleep_until, timeout},
 };
 
 use crate::{
@@ -19,7 +19,7 @@
         call,
         gather::ShardResults,
         host::Host,
-        peer::PeerConnection,
+        peer::{self, PeerConnection},
         records::merge_records,
         request::{CallerConnection, Query},
         view::ServiceKey,
@@ -28,11 +28,14 @@
     wire::relay::{Delegation, Message, Progress, Reply},
 };
 
+/// A connection without a message for this time is closed: the other relay no longer uses it, or is gone.
+const IDLE_TIMEOUT: Duration = peer::IDLE_TIMEOUT.saturating_mul(2);
+
 /// Accepts connections until the future is dropped. Connections that are already open keep running.
 pub(super) async fn serve(host: Arc<Host>, listener: TcpListener) {
     let mut listener = Listener::new(listener);
     loop {
-        let stream = listener.accept().await;
+        let (stream, _) = listener.accept().await;
         let host = host.clone();
         tokio::spawn(async move {
             if let Err(err) = serve_connection(&host, stream).await {
@@ -45,7 +48,7 @@
 async fn serve_connection(host: &Arc<Host>, stream: TcpStream) -> io::Result<()> {
     let mut conn = PeerConnection::new(stream)?;
     loop {
-        match conn.receive().await? {
+        match timeout(IDLE_TIMEOUT, conn.receive()).await?? {
             Message::Ping => conn.send(&Reply::Accepted).await?,
             Message::Detach => return Ok(()),
             Message::Delegate(it) => match accept_delegation(host, *it) {
--- a/src/relay/peer.rs
+++ b/src/relay/peer.rs
@@ -21,9 +21,12 @@
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::wire::{
-    MAX_FRAME_BYTES,
-    relay::{Message, Reply},
+use crate::{
+    relay::idle::IdleConnections,
+    wire::{
+        MAX_FRAME_BYTES,
+        relay::{Message, Reply},
+    },
 };
 
 /// A relay that does not accept a connection or a delegation within this time plus a round trip is suspended until it
@@ -34,7 +37,10 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// How long an idle connection can be reused.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The number of idle connections that are kept to one relay.
+const MAX_IDLE: usize = 32;
 
 /// Initial estimate of the round-trip time. It is the one between regions; within a zone it is shorter.
 const INITIAL_ROUND_TRIP: Duration = Duration::from_millis(16);
@@ -73,7 +79,7 @@
 /// Another relay.
 pub(super) struct Peer {
     pub(super) addr: SocketAddr,
-    idle: Mutex<Vec<(Instant, PeerConnection)>>,
+    idle: Mutex<IdleConnections<PeerConnection>>,
     suspended: AtomicBool,
     /// Shortest time that a connect took, in microseconds, as an estimate of the round-trip time.
     round_trip_us: AtomicU64,
@@ -83,7 +89,7 @@
     fn new(addr: SocketAddr) -> Self {
         Self {
             addr,
-            idle: Mutex::default(),
+            idle: Mutex::new(IdleConnections::new(MAX_IDLE)),
             suspended: AtomicBool::new(false),
             round_trip_us: AtomicU64::new(INITIAL_ROUND_TRIP.as_micros() as u64),
         }
@@ -101,13 +107,10 @@
 
     /// Returns an idle connection or opens a new one.
     pub(super) async fn connection(&self) -> std::io::Result<PeerConnection> {
-        let now = Instant::now();
-        while let Some((since, conn)) = self.idle.lock().pop() {
-            if now.saturating_duration_since(since) < IDLE_TIMEOUT {
-                return Ok(conn);
-            }
-        }
         let start = Instant::now();
+        if let Some(conn) = self.idle.lock().take(start) {
+            return Ok(conn);
+        }
         let stream =
             timeout(ACCEPT_TIMEOUT + self.round_trip(), TcpStream::connect(self.addr)).await??;
         let took_us = start.elapsed().as_micros() as u64;
@@ -117,7 +120,8 @@
 
     /// Keeps a connection for reuse. No reply may be outstanding on it.
     pub(super) fn put_idle(&self, conn: PeerConnection) {
-        self.idle.lock().push((Instant::now(), conn));
+        let now = Instant::now();
+        self.idle.lock().put(conn, now + IDLE_TIMEOUT, now);
     }
 
     /// Excludes the relay from delegations until it answers a ping, and closes its idle connections.
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -13,6 +13,8 @@
 use parking_lot::Mutex;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
+use crate::relay::idle::IdleConnections;
+
 /// Timeout for a new connection. A running target accepts within one round trip, at most some tens of milliseconds.
 /// Nothing has been sent yet, so another target can take the request.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -28,12 +30,14 @@
 /// Keep-alive timeout that is assumed if the target does not send one.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(20);
 
+/// The number of idle connections that are kept to one target.
+const MAX_IDLE: usize = 128;
+
 /// An HTTP/1 connection. Dropping it closes it.
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     created_at: Instant,
-    usable_until: Instant,
     /// Whether a response has been read from it before. A late second copy of that response may follow.
     pub(super) is_reused: bool,
 }
@@ -47,7 +51,7 @@
 /// Connection pool of one target.
 pub(super) struct Pool {
     addr: SocketAddr,
-    idle: Mutex<Vec<Connection>>,
+    idle: Mutex<IdleConnections<Connection>>,
     /// Connections that were opened before this moment are not reused.
     valid_from: Mutex<Instant>,
     /// Shortest time that a connect took, in microseconds, as an estimate of the round-trip time.
@@ -58,7 +62,7 @@
     pub(super) fn new(addr: SocketAddr, round_trip: Duration) -> Self {
         Self {
             addr,
-            idle: Mutex::default(),
+            idle: Mutex::new(IdleConnections::new(MAX_IDLE)),
             valid_from: Mutex::new(Instant::now()),
             round_trip_us: AtomicUsize::new(round_trip.as_micros() as usize),
         }
@@ -76,10 +80,9 @@
     /// Takes an idle connection that is still usable, if there is one.
     pub(super) async fn take_idle(&self) -> Option<Connection> {
         loop {
-            let now = Instant::now();
-            let mut conn = self.idle.lock().pop()?;
+            let mut conn = self.idle.lock().take(Instant::now())?;
             let valid_from = *self.valid_from.lock();
-            if conn.usable_until <= now || conn.created_at < valid_from || conn.sender.is_closed() {
+            if conn.created_at < valid_from || conn.sender.is_closed() {
                 continue;
             }
             if conn.sender.ready().await.is_ok() {
@@ -108,7 +111,6 @@
             sender,
             driver: driver.abort_handle(),
             created_at: Instant::now(),
-            usable_until: Instant::now() + DEFAULT_KEEP_ALIVE,
             is_reused: false,
         })
     }
@@ -117,9 +119,9 @@
     /// known.
     pub(super) fn put_idle(&self, mut conn: Connection, keep_alive: Option<Duration>) {
         let kept = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).saturating_sub(KEEP_ALIVE_MARGIN);
-        conn.usable_until = Instant::now() + kept;
         conn.is_reused = true;
-        self.idle.lock().push(conn);
+        let now = Instant::now();
+        self.idle.lock().put(conn, now + kept, now);
     }
 
     /// Closes idle connections now, and those in use when they become idle.
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -48,14 +48,14 @@
     let mut listener = Listener::new(listener);
     loop {
         let stream = tokio::select! {
-            stream = listener.accept() => stream,
+            (stream, _) = listener.accept() => stream,
             () = host.stop_accepting.notified() => break,
         };
         start_connection(&host, stream);
     }
     let end = Instant::now() + BACKLOG_MAX;
     while Instant::now() < end
-        && let Ok(stream) = timeout(BACKLOG_EMPTY_AFTER, listener.accept()).await
+        && let Ok((stream, _)) = timeout(BACKLOG_EMPTY_AFTER, listener.accept()).await
     {
         start_connection(&host, stream);
     }
--- a/tests/relay/descriptors.rs
+++ b/tests/relay/descriptors.rs
@@ -1,10 +1,14 @@
 //! Connections that callers keep, of which there are more than the relay may have open.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use futures::future::join_all;
 use gentianpass::{
     inbound::{Activity, Admission, LogLimit, admit},
+    relay::IdleConnections,
     route::Kind,
 };
 use hyper::StatusCode;
@@ -118,3 +122,33 @@
     }
     assert_eq!(harness.get("/one/x").await.0, StatusCode::OK);
 }
+
+/// Guards against connections that stay open for ever below the one that is reused again and again, and against a number
+/// without a bound after a burst.
+#[test]
+fn idle_connections_reused() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let conns: Vec<_> = (0..4).map(Arc::new).collect();
+    let mut idle = IdleConnections::new(3);
+    for (i, conn) in conns.iter().enumerate() {
+        idle.put(conn.clone(), at(100 + i as u64), at(0));
+    }
+    let open = || conns.iter().map(|it| Arc::strong_count(it) - 1).collect::<Vec<_>>();
+    assert_eq!(open(), [0, 1, 1, 1]);
+    let newest = idle.take(at(102)).unwrap();
+    assert_eq!((*newest, open()), (3, vec![0, 0, 0, 1]));
+    idle.put(newest, at(200), at(150));
+    assert!(idle.take(at(200)).is_none());
+    assert_eq!(open(), [0; 4]);
+}
+
+/// Guards against connections of relays that are gone or no longer use them, each of which held a descriptor for ever.
+#[tokio::test]
+async fn peer_connection_unused() {
+    let harness = Harness::start().await;
+    harness.put_routes(vec![single(Kind::Idempotent)]).await;
+    let mut stream = TcpStream::connect(harness.control.rpc_addr("relay-1")).await.unwrap();
+    let closed = timeout(Duration::from_secs(25), stream.read(&mut [0])).await;
+    assert!(matches!(closed, Ok(Ok(0))), "still open");
+}
