relay: name the error of a failed connect and the open descriptors in the log

poll_failed and config_unconfirmed said "cannot connect to the control host" for a closed port, a lost network and a process without descriptors alike, so that a relay whose callers had used them up could not be told from one that was cut off.

The cause names the error, and config_unconfirmed the number of open descriptors and their limit. They are counted only when the line is written; "-" if that fails, as it does when no descriptor is left.

tests/relay descriptors::connect_refused_cause and descriptors::open_count_files pass.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -2,6 +2,7 @@
 //! change is retried under the same id, so that it is applied at most once.
 
 use std::{
+    io,
     net::SocketAddr,
     sync::atomic::{AtomicBool, AtomicUsize, Ordering},
     time::{Duration, Instant},
@@ -124,9 +125,13 @@
         let mut transport = tcp::connect(self.hosts[host], Bincode::default);
         transport.config_mut().max_frame_length(MAX_FRAME_BYTES);
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, transport).await;
-        let Ok(Ok(transport)) = connected else {
-            self.fail_over(host);
-            return Err(Error::new(Kind::NoQuorum, "cannot connect to the control host"));
+        let transport = match connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
+            Ok(transport) => transport,
+            Err(err) => {
+                self.fail_over(host);
+                let message = format!("cannot connect to the control host: {err}");
+                return Err(Error::new(Kind::NoQuorum, message));
+            }
         };
         let _ = transport.get_ref().set_nodelay(true);
         let client = ServiceClient::new(client::Config::default(), transport).spawn();
--- a/src/descriptors.rs
+++ b/src/descriptors.rs
@@ -6,3 +6,10 @@
 pub fn limit(configured: u64) -> u64 {
     getrlimit(Resource::Nofile).current.map_or(configured, |it| it.min(configured))
 }
+
+/// The number of open descriptors, for the log. None if it cannot be found out, which takes a descriptor.
+pub fn open_count() -> Option<usize> {
+    let entries = std::fs::read_dir("/proc/self/fd").ok()?;
+    // The directory itself is one of the entries.
+    Some(entries.count().saturating_sub(1))
+}
--- a/src/relay/freshness.rs
+++ b/src/relay/freshness.rs
@@ -8,7 +8,7 @@
 
 use parking_lot::Mutex;
 
-use crate::relay::host::Host;
+use crate::{descriptors, relay::host::Host};
 
 /// A configuration that was not confirmed for this long is logged as late. While nothing changes, its age cycles up to
 /// two polls and their ways, because a poll is held for a second and the age counts from its sending.
@@ -101,13 +101,15 @@
             (state.answered, state.failed, state.failure.clone().unwrap_or_default())
         };
         let view = host.view();
+        let descriptors = descriptors::open_count().map_or_else(|| "-".into(), |it| it.to_string());
         log::warn!(
             "event=config_unconfirmed age_ms={} revision={} version={} control_host={} \
-             polls={answered}/{failed} cause={cause:?}",
+             polls={answered}/{failed} descriptors={descriptors}/{} cause={cause:?}",
             age.as_millis(),
             view.revision,
             view.table.version,
             self.control_host(),
+            descriptors::limit(host.cfg.max_descriptors),
         );
     }
 }
--- a/tests/relay/descriptors.rs
+++ b/tests/relay/descriptors.rs
@@ -7,6 +7,8 @@
 
 use futures::future::join_all;
 use gentianpass::{
+    control::Client,
+    descriptors,
     inbound::{Activity, Admission, LogLimit, admit},
     relay::IdleConnections,
     route::Kind,
@@ -14,7 +16,7 @@
 use hyper::StatusCode;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
     time::{sleep, timeout},
 };
 
@@ -152,3 +154,18 @@
     let closed = timeout(Duration::from_secs(25), stream.read(&mut [0])).await;
     assert!(matches!(closed, Ok(Ok(0))), "still open");
 }
+
+/// Guards against a log that does not tell why a control host cannot be reached.
+#[tokio::test]
+async fn connect_refused_cause() {
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    let err = Client::new(vec![closed]).members().await.unwrap_err();
+    assert!(err.message.ends_with("Connection refused (os error 111)"), "{}", err.message);
+}
+
+/// Guards against a count that does not follow what is open.
+#[test]
+fn open_count_files() {
+    let files: Vec<_> = (0..500).map(|_| std::fs::File::open("/dev/null").unwrap()).collect();
+    assert!(descriptors::open_count().is_some_and(|it| it >= files.len()));
+}
