platform: bound the connections to the HTTP endpoints of control hosts and relays

Instances and operators that keep their connections, or are gone without a reset, held descriptors of a control host without a limit of number or time, and callers those of the endpoints of a relay for addresses, readiness and metrics: a process at the limit of descriptors accepts no connection and opens none.

These listeners now keep at most a share of the descriptors; a connection beyond it replaces the one that has been idle longest. A connection on which nothing was sent or received for 20 s is closed. One that has a request without a complete response does not end to make room.

platform tests descriptors::control_serves_kept_clients (80 descriptors, 120 kept connections to each) and settings_relay pass.

--- a/src/inbound.rs
+++ b/src/inbound.rs
@@ -1,6 +1,8 @@
 //! Bounds the connections that others open to this process, so that descriptors are left for those that it opens itself:
 //! a relay that cannot connect to a control host serves an old configuration.
 
+mod http;
+
 use std::{
     io,
     net::SocketAddr,
@@ -12,9 +14,11 @@
 use slotmap::{SlotMap, new_key_type};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::Notify,
+    sync::{Notify, futures::OwnedNotified},
 };
 
+pub use http::{HttpListener, HttpStream};
+
 /// Minimum time between two lines that tell the same.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -117,6 +121,11 @@
         }
     }
 
+    /// The address at which it listens.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.inner.local_addr()
+    }
+
     async fn record_failure(&mut self, err: &io::Error) {
         if let Some(count) = self.failures.record(Instant::now()) {
             log::warn!("event=accept_failed count={count} cause={:?}", err.to_string());
@@ -207,9 +216,19 @@
         self.close.notified().await;
     }
 
+    /// Like [`Self::close_requested`], without a borrow.
+    fn close_signal(&self) -> OwnedNotified {
+        self.close.clone().notified_owned()
+    }
+
+    fn set_busy(&self, is_busy: bool) {
+        let activity = if is_busy { Activity::Busy } else { Activity::Idle(Instant::now()) };
+        self.connections.set(self.key, activity);
+    }
+
     /// Counts the connection as busy until the guard is dropped.
     pub fn start_request(&self) -> RequestGuard<'_> {
-        self.connections.set(self.key, Activity::Busy);
+        self.set_busy(true);
         RequestGuard(self)
     }
 }
@@ -225,6 +244,6 @@
 
 impl Drop for RequestGuard<'_> {
     fn drop(&mut self) {
-        self.0.connections.set(self.0.key, Activity::Idle(Instant::now()));
+        self.0.set_busy(false);
     }
 }
--- /dev/null
+++ b/src/inbound/http.rs
@@ -0,0 +1,141 @@
+//! Listener for axum whose connections are bounded and closed when they are idle.
+
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+    time::{Duration, Instant},
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::{TcpListener, TcpStream},
+    sync::futures::OwnedNotified,
+    time::{Sleep, sleep},
+};
+
+use crate::inbound::{Connections, Listener, Slot};
+
+/// A connection on which nothing was sent or received for this time is closed. Instances send a heartbeat each second or
+/// two, and no request takes as long.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Accepts a bounded number of connections.
+pub struct HttpListener {
+    inner: Listener,
+    connections: Arc<Connections>,
+}
+
+impl HttpListener {
+    /// At most `max` connections; `kind` names them in the log.
+    pub fn new(inner: TcpListener, kind: &'static str, max: usize) -> Self {
+        let connections = Arc::new(Connections::new(kind, max));
+        Self { inner: Listener::new(inner), connections }
+    }
+}
+
+impl axum::serve::Listener for HttpListener {
+    type Io = HttpStream;
+    type Addr = SocketAddr;
+
+    async fn accept(&mut self) -> (Self::Io, Self::Addr) {
+        loop {
+            let (stream, addr) = self.inner.accept().await;
+            if let Some(slot) = self.connections.admit(Instant::now()) {
+                return (HttpStream::new(stream, slot), addr);
+            }
+        }
+    }
+
+    fn local_addr(&self) -> io::Result<Self::Addr> {
+        self.inner.local_addr()
+    }
+}
+
+/// A connection that ends for its reader once it was idle for too long, or has to make room while no request runs.
+pub struct HttpStream {
+    stream: TcpStream,
+    idle: Pin<Box<Sleep>>,
+    close: Pin<Box<OwnedNotified>>,
+    slot: Slot,
+    /// Whether a request has arrived, in whole or in part, that has no response yet.
+    is_busy: bool,
+    /// Whether a part of that response was written.
+    has_written: bool,
+    /// Whether the connection was told to close.
+    is_closing: bool,
+}
+
+impl HttpStream {
+    fn new(stream: TcpStream, slot: Slot) -> Self {
+        let (idle, close) = (Box::pin(sleep(IDLE_TIMEOUT)), Box::pin(slot.close_signal()));
+        Self { stream, idle, close, slot, is_busy: false, has_written: false, is_closing: false }
+    }
+
+    fn set_busy(&mut self, is_busy: bool) {
+        (self.is_busy, self.has_written) = (is_busy, false);
+        self.slot.set_busy(is_busy);
+    }
+
+    fn restart_idle(&mut self) {
+        self.idle.as_mut().reset(tokio::time::Instant::now() + IDLE_TIMEOUT);
+    }
+}
+
+impl AsyncRead for HttpStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        if let Poll::Ready(result) = Pin::new(&mut self.stream).poll_read(cx, buf) {
+            if buf.filled().len() > before {
+                self.set_busy(true);
+                self.restart_idle();
+            }
+            return Poll::Ready(result);
+        }
+        if !self.is_closing && self.close.as_mut().poll(cx).is_ready() {
+            self.is_closing = true;
+        }
+        if self.is_closing && !self.is_busy {
+            return Poll::Ready(Ok(()));
+        }
+        ready!(self.idle.as_mut().poll(cx));
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for HttpStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(result) = Pin::new(&mut self.stream).poll_write(cx, buf) {
+            self.has_written = true;
+            self.restart_idle();
+            return Poll::Ready(result);
+        }
+        ready!(self.idle.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        if self.has_written {
+            self.set_busy(false);
+            // The reader that waits now was not told to end while the request was running.
+            cx.waker().wake_by_ref();
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
