--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod cold_start;
 mod delegate;
+mod descriptors;
 mod directory;
 mod fake_control;
 mod follow;
