--- a/src/inbound.rs
+++ b/src/inbound.rs
@@ -164,7 +164,11 @@
     pub fn admit(self: &Arc<Self>, now: Instant) -> Option<Slot> {
         let mut state = self.state.lock();
         let State { open, closed, refused } = &mut *state;
-        let admission = admit(open.iter().map(|(key, it)| (key, it.activity)), self.max);
+        let admission = if open.len() < self.max {
+            Admission::Admit
+        } else {
+            admit(open.iter().map(|(key, it)| (key, it.activity)), self.max)
+        };
         let line = match admission {
             Admission::Admit => None,
             Admission::Replace(key) => {
