control: wait after a connection that could not be accepted

The RPC listener accepted again at once and logged a line each time, so that a control host without descriptors was busy with that alone. It now waits and logs like the other listeners. No test of its own: the tests of tests/control pass.

--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -7,16 +7,21 @@
 use tarpc::{
     ChannelError,
     context::Context,
-    serde_transport::{Transport, tcp},
+    serde_transport::{self, Transport},
     server::{BaseChannel, Channel},
     tokio_serde::formats::Bincode,
 };
-use tokio::{net::TcpStream, task::JoinSet};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinSet,
+};
+use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::{
     control::{driver::Input, host::Host},
     error::Result,
     event::{Event, Kind},
+    inbound::Listener,
     raft::{Index, Message},
     state::Reply,
     wire::{
@@ -83,17 +88,16 @@
 
 /// Accepts connections until the future is dropped, which also cancels their requests.
 pub async fn serve(host: Arc<Host>, listen: SocketAddr) -> io::Result<()> {
-    let mut incoming = tcp::listen(listen, Codec::default).await?;
-    incoming.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    let mut listener = Listener::new(TcpListener::bind(listen).await?);
+    let mut codec = LengthDelimitedCodec::builder();
+    codec.max_frame_length(MAX_FRAME_BYTES);
     let mut tasks = JoinSet::new();
-    while let Some(accepted) = incoming.next().await {
-        match accepted {
-            Ok(connection) => drop(tasks.spawn(serve_connection(host.clone(), connection))),
-            Err(err) => log::warn!("event=accept_failed cause={:?}", err.to_string()),
-        }
+    loop {
+        let (stream, _) = listener.accept().await;
+        let connection = serde_transport::new(codec.new_framed(stream), Codec::default());
+        drop(tasks.spawn(serve_connection(host.clone(), connection)));
         while tasks.try_join_next().is_some() {}
     }
-    Ok(())
 }
 
 async fn serve_connection(host: Arc<Host>, connection: Connection) {
