control: keep descriptors in reserve for connections to control hosts

A relay whose descriptors are used up by anything could not connect to another control host and served an old configuration. Bounds on known consumers do not help against one that is forgotten.

A process with listeners holds four descriptors open. A connect to a control host that fails with EMFILE or ENFILE frees them for a second attempt. Listeners accept nothing before the reserve is whole again, so they do not take the descriptors.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -10,14 +10,22 @@
 
 use parking_lot::Mutex;
 use rand::random;
-use tarpc::{client, context, serde_transport::tcp, tokio_serde::formats::Bincode};
+use tarpc::{
+    ClientMessage, Response, client, context,
+    serde_transport::{Transport, tcp},
+    tokio_serde::formats::Bincode,
+};
+use tokio::net::TcpStream;
 
 use crate::{
+    descriptors::{self, RESERVE},
     error::{Error, Kind, Result},
     state::{Change, ChangeId, Reply, Revision},
     wire::{
         MAX_FRAME_BYTES,
-        control::{MemberEndpoint, Poll, ServiceClient, Submit, Update},
+        control::{
+            MemberEndpoint, Poll, ServiceClient, ServiceRequest, ServiceResponse, Submit, Update,
+        },
     },
 };
 
@@ -35,6 +43,11 @@
 /// Delay before a change is sent again, usually to the next host.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
+type Codec = Bincode<Response<ServiceResponse>, ClientMessage<ServiceRequest>>;
+
+type Connection =
+    Transport<TcpStream, Response<ServiceResponse>, ClientMessage<ServiceRequest>, Codec>;
+
 /// RPC client of the control hosts, with one connection and failover.
 pub struct Client {
     hosts: Vec<SocketAddr>,
@@ -122,10 +135,7 @@
         {
             return Ok((host, client.clone()));
         }
-        let mut transport = tcp::connect(self.hosts[host], Bincode::default);
-        transport.config_mut().max_frame_length(MAX_FRAME_BYTES);
-        let connected = tokio::time::timeout(CONNECT_TIMEOUT, transport).await;
-        let transport = match connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
+        let transport = match connect(self.hosts[host]).await {
             Ok(transport) => transport,
             Err(err) => {
                 self.fail_over(host);
@@ -169,6 +179,23 @@
     }
 }
 
+/// Connects to a control host, with a descriptor of the reserve if no other one is left.
+async fn connect(addr: SocketAddr) -> io::Result<Connection> {
+    match try_connect(addr).await {
+        Err(err) if descriptors::is_exhausted(&err) => {
+            let _lease = RESERVE.lend();
+            try_connect(addr).await
+        }
+        result => result,
+    }
+}
+
+async fn try_connect(addr: SocketAddr) -> io::Result<Connection> {
+    let mut transport = tcp::connect(addr, Bincode::default);
+    transport.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    tokio::time::timeout(CONNECT_TIMEOUT, transport).await?
+}
+
 fn context_with_timeout(timeout: Duration) -> context::Context {
     let mut context = context::current();
     context.deadline = Instant::now() + timeout;
--- a/src/inbound.rs
+++ b/src/inbound.rs
@@ -15,8 +15,11 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Notify, futures::OwnedNotified},
+    time::sleep,
 };
 
+use crate::descriptors::RESERVE;
+
 pub use http::{HttpListener, HttpStream};
 
 /// Minimum time between two lines that tell the same.
@@ -108,12 +111,17 @@
 impl Listener {
     /// Wraps a listener.
     pub fn new(inner: TcpListener) -> Self {
+        RESERVE.refill();
         Self { inner, failures: LogLimit::default() }
     }
 
-    /// Accepts the next connection.
+    /// Accepts the next connection, but none before the reserve of descriptors is whole.
     pub async fn accept(&mut self) -> (TcpStream, SocketAddr) {
         loop {
+            if !RESERVE.refill() {
+                self.record_failure(&io::Error::other("no descriptor left")).await;
+                continue;
+            }
             match self.inner.accept().await {
                 Ok(accepted) => return accepted,
                 Err(err) => self.record_failure(&err).await,
@@ -130,7 +138,7 @@
         if let Some(count) = self.failures.record(Instant::now()) {
             log::warn!("event=accept_failed count={count} cause={:?}", err.to_string());
         }
-        tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+        sleep(ACCEPT_RETRY_DELAY).await;
     }
 }
 
