--- a/src/control/candidates.rs
+++ b/src/control/candidates.rs
@@ -212,7 +212,8 @@
         self.current = (self.current + 1) % self.list.len();
     }
 
-    /// Counts the current host as failed, and until it can be probed again asks it only if all others fail. Another one is current from now on, if there is any.
+    /// Counts the current host as failed, and until it can be probed again asks it only if all others fail. Another one is
+    /// current from now on, if there is any.
     pub fn distrust_current(&mut self, now: Instant) {
         let it = &mut self.list[self.current];
         (it.health, it.probed_at) = (Health::Failed(now), Some(now));
