Admit requests over many shards as a whole

Above the capacity each sub-request competed for a place on its own: every request got places at some shards and none at others.

A request is now refused at arrival with 503 if more shards than it can spare are predicted to start it too late, from the pace of their queues. Retry-After is when their backlog has shrunk enough, spread at random.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,6 +1,7 @@
 //! Policies of entry hosts for admission, routing, hedging, retries, concurrency limits and ownership. They do no I/O
 //! and read no clock: callers pass the time in.
 
+pub mod admission;
 pub mod admit;
 pub mod budget;
 pub mod canary;
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -36,6 +36,11 @@
 }
 
 impl Bounds {
+    /// The latest start with which the response is complete in time.
+    pub fn in_time(&self) -> Instant {
+        self.soft.checked_sub(self.cost).unwrap_or(self.soft)
+    }
+
     /// The class in which a sub-request waits now, and until when. `None` if waiting is of no use: it cannot be
     /// completed any more, or its request is answered without it from now on.
     pub fn stage(&self, now: Instant, is_spare: bool) -> Option<(Class, Instant)> {
@@ -101,9 +106,13 @@
 
     /// Whether the turn of this ticket is predicted to come after its latest start, from the pace of the last grants.
     pub fn is_hopeless(&self, ticket: &Ticket, now: Instant) -> bool {
+        now + self.predicted_wait(ticket) > ticket.latest_start
+    }
+
+    /// How long this ticket is predicted to wait for its turn, from the pace of the last grants.
+    pub fn predicted_wait(&self, ticket: &Ticket) -> Duration {
         let before = self.waiting.range(..ticket).count();
-        let predicted = self.interval * u32::try_from(before).unwrap_or(u32::MAX);
-        now + predicted > ticket.latest_start
+        self.interval * u32::try_from(before).unwrap_or(u32::MAX)
     }
 
     /// Adds a sub-request.
--- a/src/relay/gather.rs
+++ b/src/relay/gather.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep_until;
 
 use crate::{
+    policy::admission::{self, Overload},
     relay::{
         call::{self, Failure},
         exchange::{self, TargetResponse},
@@ -17,6 +18,7 @@
         records::merge_records,
         request::Query,
         response::{self, Refusal},
+        wait,
     },
     route::Shards,
     wire::relay::{FailedShard, Progress},
@@ -40,6 +42,11 @@
 ) -> Response<Full<Bytes>> {
     let total = shards.services.len();
     let required = shards.min_shards();
+    if let Err(overload) = admit(query, total - required) {
+        host.metrics.record_answer(query, "refused");
+        let refusal = Refusal::new(false, false, "overloaded").retry_after(overload.retry_after);
+        return response::refuse(host, query, &refusal);
+    }
     let attempts = query.max_attempts();
     let (direct, groups) = group::partition(host, query, shards);
     let mut calls: FuturesUnordered<_> =
@@ -110,6 +117,14 @@
     merged_response(host, query, shards.top, &results, missing)
 }
 
+/// Decides on the request as a whole. Shards that are delegated have no backlog here.
+fn admit(query: &Query, spare: usize) -> Result<(), Overload> {
+    let now = Instant::now();
+    let services = query.route().services.iter().map(|it| query.view.service(*it));
+    let predictions = services.map(|it| wait::prediction(query, it, now));
+    admission::admit(predictions, spare)
+}
+
 /// Heeds what the responses to a delegate say: the result passes them on, so that this host must not query the targets
 /// itself later.
 fn retire_leaving(host: &Host, query: &Query, progress: &Progress) {
--- a/src/relay/response.rs
+++ b/src/relay/response.rs
@@ -12,6 +12,8 @@
     },
 };
 
+use rand::RngExt;
+
 use crate::relay::{
     exchange::{KEEP_ALIVE, TargetResponse},
     host::Host,
@@ -35,6 +37,9 @@
 /// After a refusal a caller is told to retry after the objective divided by this.
 const RETRY_AFTER_DIVISOR: u32 = 8;
 
+/// `Retry-After` is increased by a random share of up to this much.
+const RETRY_AFTER_SPREAD: f64 = 0.5;
+
 /// `Retry-After` while there is no routing table, or none that knows the route, so that no objective is known.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(100);
 
@@ -42,6 +47,8 @@
 pub(super) struct Refusal<'a> {
     status: StatusCode,
     cause: &'a str,
+    /// When room is expected, if it is known.
+    retry_after: Duration,
 }
 
 impl<'a> Refusal<'a> {
@@ -53,7 +60,12 @@
             (true, true) => StatusCode::GATEWAY_TIMEOUT,
             (false, true) => StatusCode::BAD_GATEWAY,
         };
-        Self { status, cause }
+        Self { status, cause, retry_after: Duration::ZERO }
+    }
+
+    /// Tells the caller not to come back sooner than this.
+    pub(super) fn retry_after(self, retry_after: Duration) -> Self {
+        Self { retry_after, ..self }
     }
 }
 
@@ -73,7 +85,9 @@
     );
     // A caller that comes back before a service has a target again would be refused once more.
     let paused = query.paused_for(Instant::now());
-    let wait = paused.max(query.objective() / RETRY_AFTER_DIVISOR);
+    let wait = refusal.retry_after.max(query.objective() / RETRY_AFTER_DIVISOR);
+    // Callers that were refused together do not return together.
+    let wait = paused.max(wait.mul_f64(1.0 + rand::rng().random_range(0.0..RETRY_AFTER_SPREAD)));
     let mut response = text(refusal.status, refusal.cause, wait);
     set_request_id(host, query, response.headers_mut());
     response
--- a/src/relay/wait.rs
+++ b/src/relay/wait.rs
@@ -11,7 +11,7 @@
 use tokio::{sync::oneshot, time::timeout_at};
 
 use crate::{
-    policy::queue::{Bounds, Queue, Ticket},
+    policy::queue::{Bounds, Class, Queue, Ticket},
     relay::{request::Query, target::Target, view::Service},
 };
 
@@ -19,6 +19,10 @@
 /// can still go to another host.
 const MAX_WAIT_DIVISOR: u32 = 3;
 
+/// A backlog shorter than this is no sign of overload: while all targets of a service pause, a few sub-requests wait and
+/// the pace of the last grants says nothing.
+const MIN_BACKLOG: usize = 4;
+
 /// How often a waiting sub-request looks again without being woken, because cold-start limits end by time alone and
 /// targets may be added.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -110,6 +114,21 @@
     }
 }
 
+/// How long a sub-request to this service that arrives now is predicted to wait, and for how long its response can still
+/// be complete in time. The wait is zero without a backlog.
+pub(super) fn prediction(query: &Query, service: &Service, now: Instant) -> (Duration, Duration) {
+    let latest = bounds(query).in_time();
+    let class = if query.has_spare_shards() { Class::Spare } else { Class::Needed };
+    let mut queue = service.queue.lock();
+    let wait = if queue.len() < MIN_BACKLOG {
+        Duration::ZERO
+    } else {
+        let ticket = queue.ticket(class, query.route().config.priority, latest);
+        queue.predicted_wait(&ticket)
+    };
+    (wait, latest.saturating_duration_since(now))
+}
+
 /// The shards of a request wait as long as its response can be completed; giving up sooner would waste the work of those
 /// that have responded.
 fn bounds(query: &Query) -> Bounds {
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod canary;
 mod entries;
+mod gather_load;
 mod latency;
 mod ownership;
 mod pick;
