route: tenants with keys, regions, priority and limits

A routing table had no tenants, so that keys, regions and priorities of tenants had no place in it.

Views look tenants up by digest. Two tenants with a key or a name in common, and empty keys, are invalid. Nothing checks keys yet.

Encoding: a table without tenants and public routes is encoded as before. For others the version u64::MAX, which is now reserved, says that an extension follows; Route::public is in the extension. Relays get changes of tenants by Change::PatchTenants, appended, which has only the tenants that changed.

--- a/src/control/poller.rs
+++ b/src/control/poller.rs
@@ -253,7 +253,9 @@
         Change::PutSelector(it) => format!("put selector {}", it.name),
         Change::RemoveSelector { name } => format!("removed selector {name}"),
         Change::PutRoutes(it) => format!("put routes version {}", it.version),
-        Change::PatchRoutes(it) => format!("put routes version {}", it.version()),
+        Change::PatchRoutes(it) | Change::PatchTenants(it, _) => {
+            format!("put routes version {}", it.version())
+        }
         Change::PutNode(it) => format!("put host {}", it.name),
         Change::RemoveNode { name, .. } => format!("removed host {name}"),
         Change::PutTarget(it) => format!("put target {} ({})", it.name, it.phase),
--- a/src/relay/builder.rs
+++ b/src/relay/builder.rs
@@ -145,6 +145,7 @@
             limits: table.limits.clone(),
             routes: routes.collect(),
             index: route::Index::new(table),
+            tenants: route::Tenants::new(table),
         }
     }
 
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -302,7 +302,7 @@
     eligible: impl Fn(&Arc<Target>) -> bool,
 ) -> Option<(Arc<Target>, Duration)> {
     let now = Instant::now();
-    let homes = &query.route().config.homes;
+    let homes = query.homes();
     let median = query.route().latency.lock().median();
     let mut rng = rand::rng();
     let usable = service.targets.iter().filter(|it| {
--- a/src/relay/group.rs
+++ b/src/relay/group.rs
@@ -75,7 +75,7 @@
     shards: &Shards,
 ) -> (Vec<ServiceKey>, Vec<DelegatedGroup>) {
     let route = query.route();
-    let homes = &route.config.homes;
+    let homes = query.homes();
     let is_home_region = homes.is_empty() || homes.iter().any(|it| it == host.cfg.own_region());
     if shards.top > MAX_DELEGATED_RECORDS || !is_home_region {
         return (route.services.clone(), Vec::new());
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -30,7 +30,7 @@
         target::Target,
         view::{ResolvedRoute, ServiceKey, View},
     },
-    route::{Kind, To},
+    route::{self, Kind, TenantKey, To},
     wire::relay::Delegation,
 };
 
@@ -61,6 +61,10 @@
     pub(super) view: Arc<View>,
     /// Position of the route in the routing table.
     index: usize,
+    /// The tenant, in the view's table.
+    tenant: Option<TenantKey>,
+    /// The regions that route and tenant have in common, if both have some.
+    common_homes: Option<Vec<String>>,
     pub(super) request_id: Option<HeaderValue>,
     pub(super) arrived: Instant,
     /// From this moment on a response is sent as soon as it covers enough shards.
@@ -84,6 +88,27 @@
         &self.view.table.routes[self.index]
     }
 
+    /// The tenant that sends the request; none on public routes and in tables without tenants.
+    pub(super) fn tenant(&self) -> Option<&route::Tenant> {
+        self.tenant.map(|it| self.view.table.tenants.get(it))
+    }
+
+    /// The priority: that of the tenant if it has one, else that of the route; 0 is the highest.
+    pub(super) fn priority(&self) -> u32 {
+        let priority = self.tenant().and_then(|it| it.priority);
+        priority.unwrap_or(self.route().config.priority)
+    }
+
+    /// The regions whose targets and relays may serve the request: those of the route and of the tenant, both if both
+    /// have some; all if empty.
+    pub(super) fn homes(&self) -> &[String] {
+        if let Some(homes) = &self.common_homes {
+            return homes;
+        }
+        let own = self.tenant().map(|it| it.homes.as_slice()).filter(|it| !it.is_empty());
+        own.unwrap_or(&self.route().config.homes)
+    }
+
     /// The request id, for the log.
     pub(super) fn id(&self) -> &str {
         self.request_id.as_ref().and_then(|it| it.to_str().ok()).unwrap_or("-")
@@ -234,6 +259,8 @@
         let uri = uri.path_and_query().map_or(Uri::from_static("/"), |it| Uri::from(it.clone()));
         Ok(Self {
             index,
+            tenant: None,
+            common_homes: None,
             request_id: headers.get(&names.request_id).cloned(),
             arrived,
             soft_deadline: arrived + objective - overhead.min(objective / MAX_OVERHEAD_DIVISOR),
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -35,6 +35,10 @@
     pub not_run: HeaderName,
     /// Set by a target that is leaving, in all its responses.
     pub leaving: HeaderName,
+    /// The key of the tenant that sends a request. It is not passed on if the table has tenants.
+    pub credential: HeaderName,
+    /// Tells a target the name of the tenant. What callers send is dropped if the table has tenants.
+    pub tenant: HeaderName,
 }
 
 /// Settings of a relay.
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -80,6 +80,7 @@
     pub(super) limits: route::Limits,
     pub(super) routes: Vec<ResolvedRoute>,
     pub(super) index: route::Index,
+    pub(super) tenants: route::Tenants,
 }
 
 /// Everything that routing needs at one revision. A request uses the same view from its arrival to its response.
--- a/src/relay/wait.rs
+++ b/src/relay/wait.rs
@@ -65,7 +65,7 @@
     {
         return Ok(target);
     }
-    let priority = query.route().config.priority;
+    let priority = query.priority();
     let bounds = bounds(query);
     let mut woken = false;
     loop {
--- a/src/route/check.rs
+++ b/src/route/check.rs
@@ -1,8 +1,8 @@
 //! Validation of routing tables.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
-use crate::route::{Table, To};
+use crate::route::{KeyDigest, Table, Tenant, To, encoding::EXTENDED_VERSION};
 
 /// Why a routing table is invalid.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -47,11 +47,44 @@
         /// The prefix.
         prefix: String,
     },
+    /// The version is reserved.
+    #[error("version {EXTENDED_VERSION} is reserved")]
+    ReservedVersion,
+    /// Two tenants have the same name.
+    #[error("two tenants have the name {name:?}")]
+    DuplicateTenant {
+        /// The name.
+        name: String,
+    },
+    /// The name of a tenant is empty or contains control characters, so that it cannot be sent in a header.
+    #[error("tenant name {name:?} is empty or contains control characters")]
+    InvalidTenantName {
+        /// The name.
+        name: String,
+    },
+    /// Two tenants have a key in common.
+    #[error("tenants {first:?} and {second:?} have a key in common")]
+    SharedKey {
+        /// The tenant that comes first.
+        first: String,
+        /// The other tenant.
+        second: String,
+    },
+    /// A key of a tenant is empty.
+    #[error("a key of tenant {tenant:?} is empty")]
+    EmptyKey {
+        /// The tenant.
+        tenant: String,
+    },
 }
 
 impl Table {
     /// Validates the table. Returns the first error found.
     pub fn check(&self) -> Result<(), TableError> {
+        if self.version == EXTENDED_VERSION {
+            return Err(TableError::ReservedVersion);
+        }
+        check_tenants(&self.tenants)?;
         let mut seen = HashSet::new();
         for route in &self.routes {
             let name = || route.name.clone();
@@ -85,3 +118,29 @@
         Ok(())
     }
 }
+
+/// Validates the tenants. Messages name tenants, never keys.
+fn check_tenants(tenants: &[Tenant]) -> Result<(), TableError> {
+    let empty = KeyDigest::new(b"");
+    let mut names = HashSet::new();
+    let mut holders = HashMap::new();
+    for tenant in tenants {
+        let name = || tenant.name.clone();
+        if tenant.name.is_empty() || tenant.name.chars().any(char::is_control) {
+            return Err(TableError::InvalidTenantName { name: name() });
+        }
+        if !names.insert(&tenant.name) {
+            return Err(TableError::DuplicateTenant { name: name() });
+        }
+        if tenant.keys.contains(&empty) {
+            return Err(TableError::EmptyKey { tenant: name() });
+        }
+        for key in &tenant.keys {
+            let first = *holders.entry(key).or_insert(&tenant.name);
+            if *first != tenant.name {
+                return Err(TableError::SharedKey { first: first.clone(), second: name() });
+            }
+        }
+    }
+    Ok(())
+}
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -3,15 +3,18 @@
 
 mod check;
 mod document;
+mod encoding;
 mod index;
 mod patch;
+mod tenant;
 
 pub use check::TableError;
 pub use document::{document_difference, document_digest};
 pub use index::Index;
-pub use patch::Patch;
+pub use patch::{Patch, TenantPatch};
+pub use tenant::{KeyDigest, Tenant, TenantKey, Tenants};
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, fmt};
 
 use serde::{Deserialize, Serialize};
 
@@ -19,7 +22,7 @@
 pub const PPM_SCALE: u64 = 1_000_000;
 
 /// A routing table as sent by the operator.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Default, PartialEq, Eq)]
 pub struct Table {
     /// Assigned by the operator; a table with a higher version replaces one with a lower version.
     pub version: u64,
@@ -31,6 +34,22 @@
     pub services: BTreeMap<String, Service>,
     /// The limits for requests and connections of callers.
     pub limits: Limits,
+    /// The tenants. If there are any, requests need a key of one, except on public routes.
+    pub tenants: Vec<Tenant>,
+}
+
+/// Leaves out the document, which contains the keys of the tenants.
+impl fmt::Debug for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { version, document: _, routes, services, limits, tenants } = self;
+        f.debug_struct("Table")
+            .field("version", version)
+            .field("routes", routes)
+            .field("services", services)
+            .field("limits", limits)
+            .field("tenants", tenants)
+            .finish_non_exhaustive()
+    }
 }
 
 /// How requests with a given host and path prefix are handled.
@@ -57,6 +76,10 @@
     pub homes: Vec<String>,
     /// The destination.
     pub to: To,
+    /// Whether requests need no key although the table has tenants. Encoded with the table and with patches, not with the
+    /// route, whose encoding stays that of releases without tenants.
+    #[serde(skip)]
+    pub public: bool,
 }
 
 /// Whether a request may run more than once.
@@ -147,8 +170,8 @@
     /// are compared by content: an operator may send an order again in another form.
     pub fn conflict_with(&self, stored: &Self) -> Option<String> {
         let is_same = |one: &Self, other: &Self| {
-            (&one.routes, &one.services, &one.limits)
-                == (&other.routes, &other.services, &other.limits)
+            (&one.routes, &one.services, &one.limits, &one.tenants)
+                == (&other.routes, &other.services, &other.limits, &other.tenants)
         };
         let in_document = document_difference(&self.document, &stored.document);
         let difference = match in_document {
--- a/src/state/change.rs
+++ b/src/state/change.rs
@@ -105,6 +105,8 @@
         /// Maximum difference between the clocks of two hosts, in milliseconds.
         max_clock_skew_ms: u64,
     },
+    /// Changes part of the route table and its tenants. Sent to entry hosts in place of `PutRoutes`; never part of the log.
+    PatchTenants(Box<route::Patch>, Box<route::TenantPatch>),
 }
 
 impl Change {
@@ -113,7 +115,11 @@
     pub fn for_entry_hosts(&self, old: &route::Table) -> Self {
         match self {
             Self::PutRoutes(table) => {
-                Self::PatchRoutes(Box::new(route::Patch::between(old, table)))
+                let patch = Box::new(route::Patch::between(old, table));
+                match route::TenantPatch::between(old, table) {
+                    Some(tenants) => Self::PatchTenants(patch, Box::new(tenants)),
+                    None => Self::PatchRoutes(patch),
+                }
             }
             change => change.clone(),
         }
--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -210,7 +210,8 @@
             Change::PutSelector(selector) => self.put_selector(selector),
             Change::RemoveSelector { name } => Ok(self.selectors.remove(name).is_some()),
             Change::PutRoutes(table) => self.put_routes(table),
-            Change::PatchRoutes(patch) => self.patch_routes(patch),
+            Change::PatchRoutes(patch) => self.patch_routes(patch, None),
+            Change::PatchTenants(patch, tenants) => self.patch_routes(patch, Some(tenants)),
             Change::PutNode(node) => self.put_node(node),
             Change::RemoveNode { name, incarnation } => {
                 let current = self.nodes.get(name).is_some_and(|it| it.incarnation == *incarnation);
@@ -301,8 +302,17 @@
         Ok(true)
     }
 
-    fn patch_routes(&mut self, patch: &route::Patch) -> Result<bool, Error> {
-        let Some(table) = patch.apply(&self.routes) else {
+    fn patch_routes(
+        &mut self,
+        patch: &route::Patch,
+        tenants: Option<&route::TenantPatch>,
+    ) -> Result<bool, Error> {
+        let old = &self.routes;
+        let table = patch.apply(old).and_then(|table| match tenants {
+            Some(tenants) => tenants.apply(old, table),
+            None => Some(table),
+        });
+        let Some(table) = table else {
             let message =
                 format!("the patch does not apply to route table version {}", self.routes.version);
             return Err(Error::new(Kind::Conflict, message));
--- a/src/state/digest.rs
+++ b/src/state/digest.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    route::{Limits, Route, Service, Table},
+    route::{Limits, Route, Service, Table, Tenant},
     state::{Config, Group, Labels, Node, Object, Revision, Selector, Suspect, Target, Version},
 };
 
@@ -70,7 +70,7 @@
             targets,
             versions,
             suspects,
-            routes: Table { version, document: _, routes, services, limits },
+            routes: Table { version, document: _, routes, services, limits, tenants },
         } = self;
         let shared = Shared {
             revision: *revision,
@@ -87,6 +87,13 @@
         let mut hasher = Hasher(Xxh3::new());
         // Numbers are encoded in little-endian order with a fixed width, `usize` as 64 bits.
         bincode::serialize_into(&mut hasher, &shared).expect("configurations can be serialized");
+        // Without tenants and public routes the digest is that of releases that knew neither.
+        let public: Vec<_> = routes.iter().map(|it| it.public).collect();
+        if !tenants.is_empty() || public.contains(&true) {
+            let tenants: &[Tenant] = tenants;
+            bincode::serialize_into(&mut hasher, &(public, tenants))
+                .expect("tenants can be serialized");
+        }
         hasher.0.digest()
     }
 }
--- a/tests/control/operators.rs
+++ b/tests/control/operators.rs
@@ -102,11 +102,19 @@
         priority: 1,
         max_attempts: 2,
         homes: Vec::new(),
+        public: false,
         to: To::Service("s".into()),
     };
     let services = BTreeMap::from([("s".to_owned(), Service::default())]);
     let (document, limits) = (document.to_owned(), Limits::default());
-    Change::PutRoutes(Box::new(Table { version, document, routes: vec![route], services, limits }))
+    Change::PutRoutes(Box::new(Table {
+        version,
+        document,
+        routes: vec![route],
+        services,
+        limits,
+        tenants: Vec::new(),
+    }))
 }
 
 const DOCUMENT: &str = r#"{"version":7,"services":[{"name":"s","coldStartS":3}]}"#;
--- a/tests/control/polls.rs
+++ b/tests/control/polls.rs
@@ -160,11 +160,19 @@
         priority: 1,
         max_attempts: 2,
         homes: Vec::new(),
+        public: false,
         to: To::Service("s".into()),
     };
     let services = BTreeMap::from([("s".to_owned(), Service::default())]);
     let (document, limits) = (String::new(), Limits::default());
-    Table { version: 1, document, routes: (0..1_600).map(route).collect(), services, limits }
+    Table {
+        version: 1,
+        document,
+        routes: (0..1_600).map(route).collect(),
+        services,
+        limits,
+        tenants: Vec::new(),
+    }
 }
 
 /// A target whose encoded announcement has nearly 200 KB.
--- a/tests/relay/fake_control.rs
+++ b/tests/relay/fake_control.rs
@@ -93,7 +93,8 @@
     let service = Service { max_connections: 64, cold_millis_per_s: 0 };
     let services = services.map(|it| (it.to_owned(), service.clone())).collect();
     let limits = Limits::default();
-    let routes = Table { version, document: String::new(), routes, services, limits };
+    let routes =
+        Table { version, document: String::new(), routes, services, limits, tenants: Vec::new() };
     Config { revision, routes, ..Config::default() }
 }
 
--- a/tests/relay/single.rs
+++ b/tests/relay/single.rs
@@ -296,6 +296,7 @@
         routes: vec![route],
         services: [("s".to_owned(), service)].into(),
         limits,
+        tenants: Vec::new(),
     };
     table.check().unwrap();
     let reply = harness.control.apply(Change::PutRoutes(Box::new(table)));
--- a/tests/relay/supervision.rs
+++ b/tests/relay/supervision.rs
@@ -67,6 +67,7 @@
         routes: vec![single(Kind::Idempotent)],
         services: [("s".to_owned(), Service { max_connections: 64, cold_millis_per_s: 0 })].into(),
         limits: Limits::default(),
+        tenants: Vec::new(),
     };
     let mut tables = Tables::default();
     for change in [Change::PutRoutes(Box::new(table)), Change::PutTarget(target)] {
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -420,7 +420,14 @@
         let services = services.map(|it| (it.to_owned(), service.clone())).collect();
         let version = self.control.tables.lock().config.routes.version + 1;
         let limits = Limits::default();
-        let table = Table { version, document: String::new(), routes, services, limits };
+        let table = Table {
+            version,
+            document: String::new(),
+            routes,
+            services,
+            limits,
+            tenants: Vec::new(),
+        };
         self.control.apply(Change::PutRoutes(Box::new(table)));
         self.wait_until(|| self.relay.is_ready()).await;
         // The relay may not have applied the last announcement and this table yet.
@@ -552,6 +559,7 @@
         priority: 1,
         max_attempts: 2,
         homes: Vec::new(),
+        public: false,
         to: To::Service("s".into()),
     }
 }
@@ -572,6 +580,8 @@
         missing_shards: HeaderName::from_static("missing"),
         not_run: HeaderName::from_static("not-run"),
         leaving: HeaderName::from_static("leaving"),
+        credential: HeaderName::from_static("credential"),
+        tenant: HeaderName::from_static("tenant"),
     }
 }
 
--- a/tests/route/main.rs
+++ b/tests/route/main.rs
@@ -20,6 +20,7 @@
         priority: 1,
         max_attempts: 2,
         homes: Vec::new(),
+        public: false,
         to,
     }
 }
@@ -32,6 +33,7 @@
         routes,
         services: BTreeMap::from(services),
         limits: Limits::default(),
+        tenants: Vec::new(),
     }
 }
 
--- a/tests/route/patch.rs
+++ b/tests/route/patch.rs
@@ -16,13 +16,21 @@
         priority: 1,
         max_attempts: 2,
         homes: Vec::new(),
+        public: false,
         to: To::Service("s".into()),
     }
 }
 
 fn table(version: u64, routes: Vec<Route>) -> Table {
     let services = BTreeMap::from([("s".to_owned(), Service::default())]);
-    Table { version, document: String::new(), routes, services, limits: Limits::default() }
+    Table {
+        version,
+        document: String::new(),
+        routes,
+        services,
+        limits: Limits::default(),
+        tenants: Vec::new(),
+    }
 }
 
 fn routes() -> impl Strategy<Value = Vec<Route>> {
--- a/tests/state/copy.rs
+++ b/tests/state/copy.rs
@@ -218,6 +218,7 @@
         priority: 1,
         max_attempts: 2,
         homes: Vec::new(),
+        public: false,
         to: To::Service(service),
     })
 }
@@ -233,6 +234,7 @@
                 routes,
                 services: ["a", "b"].map(|it| (it.to_owned(), service.clone())).into(),
                 limits: Limits { idle_ms, ..Limits::default() },
+                tenants: Vec::new(),
             }
         },
     )
--- a/tests/state/digest.rs
+++ b/tests/state/digest.rs
@@ -20,6 +20,7 @@
         priority: 1,
         max_attempts: 2,
         homes: Vec::new(),
+        public: false,
         to: To::Service("labels".into()),
     };
     Table {
@@ -28,6 +29,7 @@
         routes: vec![route],
         services: BTreeMap::from([("labels".to_owned(), Service::default())]),
         limits: Limits::default(),
+        tenants: Vec::new(),
     }
 }
 
