relay: requests of tenants need a key that holds until each attempt

Where the table has tenants, nothing checked who sends a request, and callers could name any tenant to a target.

The key is looked up by digest; without one that a tenant holds the request ends with 401, or with 503 config_unconfirmed while the configuration is not confirmed in time. The key is removed from what goes on, and the name header is set to the tenant's name. Before each attempt, and while it waits, a request is checked against the newest table: if the tenant has lost the key and nothing was sent, it ends with 401. With revoke_everywhere a relay whose configuration is older than revoke_age admits no keyed request. A relay that stood still waits for its polls before an attempt too.

Delegations name the tenant and the digest of its key in Message::DelegateFor, appended; the delegate accepts only what its own table has. Regions of route and tenant both bind; without a common one, or without a target there, requests are refused at once. The priority of a tenant goes before its route's.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -76,6 +76,8 @@
     unreachable: Vec<Arc<Target>>,
     /// Whether the next attempt replaces one to an unreachable target and so costs no retry token.
     replaces_unreachable: bool,
+    /// Whether no further attempt may be made.
+    is_final: bool,
     /// What is returned if no attempt succeeds.
     failure: Failure,
 }
@@ -93,7 +95,7 @@
     if service.is_down(Instant::now()) && query.give_up_shard() {
         return Err(Failure::unreachable());
     }
-    let first = wait_for_target(query, service).await?;
+    let first = wait_for_target(host, query, service).await?;
     let hedge_at = Instant::now() + hedge_delay(query, service, &first);
     let hedge = sleep_until(hedge_at.into());
     tokio::pin!(hedge);
@@ -106,6 +108,7 @@
         refusals: 0,
         unreachable: Vec::new(),
         replaces_unreachable: false,
+        is_final: false,
         failure: Failure { may_have_run: false, response: None, cause: "no_target" },
     };
     // Only idempotent requests are hedged.
@@ -176,6 +179,7 @@
             Outcome::Answered(response) => return Ok(response),
             Outcome::NotRun(reason) => {
                 self.attempts -= 1;
+                self.is_final |= reason.is_final();
                 self.replaces_unreachable = reason == NotRunReason::Unreachable;
                 if self.replaces_unreachable {
                     self.unreachable.push(target.clone());
@@ -211,7 +215,8 @@
         is_hedge: bool,
     ) -> Option<Arc<Target>> {
         let repeatable = query.route().config.kind == route::Kind::Idempotent;
-        if self.attempts >= max_attempts
+        if self.is_final
+            || self.attempts >= max_attempts
             || self.refusals > MAX_REFUSALS
             || self.unreachable.len() > MAX_UNREACHABLE
             || (self.failure.may_have_run && !repeatable)
@@ -241,7 +246,7 @@
         let now = Instant::now();
         let end = now + query.hard_deadline.saturating_duration_since(now) / MAX_WAIT_DIVISOR;
         let mut backoff = INITIAL_BACKOFF;
-        while !self.failure.may_have_run && Instant::now() + backoff < end {
+        while !self.is_final && !self.failure.may_have_run && Instant::now() + backoff < end {
             sleep(backoff).await;
             backoff *= 2;
             // If no attempt reached a target, the next one is the first that may.
@@ -276,10 +281,14 @@
 }
 
 /// Selects the first target. Waits if all targets are busy.
-async fn wait_for_target(query: &Query, service: &Service) -> Result<Arc<Target>, Failure> {
+async fn wait_for_target(
+    host: &Host,
+    query: &Query,
+    service: &Service,
+) -> Result<Arc<Target>, Failure> {
     let started = Instant::now();
     let pick = || pick(query, service, |_| true).map(|(target, _)| target);
-    wait::for_target(query, service, pick).await.map_err(|cause| {
+    wait::for_target(host, query, service, pick).await.map_err(|cause| {
         log::info!(
             "event=no_free_target request={} service={} cause={cause} waited_ms={} targets={} waiting={} revision={}",
             query.id(),
@@ -294,7 +303,7 @@
 }
 
 /// Selects the eligible target with the lowest cost and returns it with that cost. A target qualifies if it is usable,
-/// in a home region of the route, below the limit of requests in flight, and below its cold-start limit. Targets in the
+/// in a home region of the route and of the tenant, below the limit of requests in flight, and below its cold-start limit. Targets in the
 /// own region are preferred if they should respond in time.
 fn pick(
     query: &Query,
@@ -302,14 +311,10 @@
     eligible: impl Fn(&Arc<Target>) -> bool,
 ) -> Option<(Arc<Target>, Duration)> {
     let now = Instant::now();
-    let homes = query.homes();
     let median = query.route().latency.lock().median();
     let mut rng = rand::rng();
     let usable = service.targets.iter().filter(|it| {
-        it.is_usable()
-            && it.paused_until(now).is_none()
-            && (homes.is_empty() || homes.contains(&it.region))
-            && eligible(it)
+        it.is_usable() && it.paused_until(now).is_none() && query.allows(it) && eligible(it)
     });
     let costs = usable.filter_map(|it| {
         let stats = it.stats.lock();
--- a/src/relay/delegate.rs
+++ b/src/relay/delegate.rs
@@ -22,10 +22,11 @@
         peer::{self, PeerConnection},
         records::merge_records,
         request::{CallerConnection, Query},
+        sender::Origin,
         view::ServiceKey,
     },
     route::To,
-    wire::relay::{Delegation, Message, Progress, Reply},
+    wire::relay::{Delegation, Message, Progress, Reply, Sender},
 };
 
 /// A connection without a message for this time is closed: the other relay no longer uses it, or is gone.
@@ -51,13 +52,25 @@
         match timeout(IDLE_TIMEOUT, conn.receive()).await?? {
             Message::Ping => conn.send(&Reply::Accepted).await?,
             Message::Detach => return Ok(()),
-            Message::Delegate(it) => match accept_delegation(host, *it) {
-                Ok((query, keys, top)) => run_shards(host, &mut conn, &query, &keys, top).await?,
-                Err(cause) => {
-                    log::info!("event=delegation_refused cause={cause}");
-                    conn.send(&Reply::Refused(cause.to_owned())).await?;
-                }
-            },
+            Message::Delegate(it) => run_delegation(host, &mut conn, *it, None).await?,
+            Message::DelegateFor(sender, it) => {
+                run_delegation(host, &mut conn, *it, Some(&sender)).await?;
+            }
+        }
+    }
+}
+
+async fn run_delegation(
+    host: &Arc<Host>,
+    conn: &mut PeerConnection,
+    delegation: Delegation,
+    sender: Option<&Sender>,
+) -> io::Result<()> {
+    match accept_delegation(host, delegation, sender) {
+        Ok((query, keys, top)) => run_shards(host, conn, &query, &keys, top).await,
+        Err(cause) => {
+            log::info!("event=delegation_refused cause={cause}");
+            conn.send(&Reply::Refused(cause.to_owned())).await
         }
     }
 }
@@ -67,6 +80,7 @@
 fn accept_delegation(
     host: &Host,
     delegation: Delegation,
+    sender: Option<&Sender>,
 ) -> Result<(Arc<Query>, Vec<ServiceKey>, usize), &'static str> {
     let arrived = Instant::now();
     let view = host.view();
@@ -90,7 +104,9 @@
         head,
         delegation.body.into(),
         arrived,
-    )?;
+        &Origin::Relay(sender),
+    )
+    .map_err(|denial| denial.cause)?;
     query.soft_deadline = arrived + Duration::from_micros(delegation.partial_after_us);
     let To::Shards(shards) = &query.route().config.to else { return Err("no_shards") };
     let top = shards.top;
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -86,6 +86,17 @@
     WrongProcess,
     /// No connection could be established, or it was closed before any byte was sent.
     Unreachable,
+    /// The tenant no longer holds the key. Nothing was sent.
+    KeyWithdrawn,
+    /// Whether the tenant still holds the key is not known. Nothing was sent.
+    ConfigUnconfirmed,
+}
+
+impl NotRunReason {
+    /// Whether the request ends, because no other target may run it either.
+    pub(super) fn is_final(self) -> bool {
+        matches!(self, Self::KeyWithdrawn | Self::ConfigUnconfirmed)
+    }
 }
 
 /// Why it is unknown whether a request ran.
@@ -196,6 +207,10 @@
     };
     let now = Instant::now();
     log_if_late(query, in_flight, &outcome, now);
+    if matches!(outcome, Outcome::NotRun(reason) if reason.is_final()) {
+        // It tells nothing about the target.
+        return outcome;
+    }
     let observation = match &outcome {
         Outcome::Answered(it) if it.status.is_server_error() => Observation::Failed,
         Outcome::Answered(_) => {
@@ -269,6 +284,9 @@
     target: &Target,
     mut conn: Connection,
 ) -> Option<Outcome> {
+    if let Err(reason) = host.check_sender(query).await {
+        return Some(Outcome::NotRun(reason));
+    }
     let request = query.target_request(&host.cfg.headers, target);
     let silence = (query.route().latency.lock().late_threshold() * SILENCE_FACTOR).max(MIN_SILENCE);
     let silent_at = Instant::now() + target.pool.round_trip() + silence;
--- a/src/relay/gather.rs
+++ b/src/relay/gather.rs
@@ -11,7 +11,7 @@
 use crate::{
     relay::{
         call::{self, Failure},
-        exchange::{self, TargetResponse},
+        exchange::{self, NotRunReason, TargetResponse},
         group::{self, DelegateEvent},
         host::Host,
         records::merge_records,
@@ -81,7 +81,9 @@
         if results.covered() >= required && soft_passed {
             break "objective";
         }
-        if total - results.ended() + results.covered() < required {
+        let is_too_few = total - results.ended() + results.covered() < required;
+        // That nothing has run is certain only when all shards have ended, which then takes a moment.
+        if is_too_few && !results.is_withdrawn() {
             break "too_few";
         }
     };
@@ -166,6 +168,14 @@
         self.failures().any(|it| it.may_have_run)
     }
 
+    /// Whether shards were not run because the key has been withdrawn, and no shard has run so far.
+    fn is_withdrawn(&self) -> bool {
+        let withdrawn: &str = NotRunReason::KeyWithdrawn.into();
+        self.covered() == 0
+            && !self.may_have_run()
+            && self.failures().any(|it| it.cause == withdrawn)
+    }
+
     /// Why the last failed shard failed.
     fn cause(&self) -> &str {
         self.failures().last().map_or("", |it| &it.cause)
--- a/src/relay/group.rs
+++ b/src/relay/group.rs
@@ -138,10 +138,9 @@
             Err(err) => return Err(self.on_rejected(host, &err.to_string(), false)),
         };
         let soft_deadline = self.query.soft_deadline - peer.round_trip() / 2 - DELEGATE_OVERHEAD;
-        let delegation =
-            self.query.delegation(&host.cfg.headers, self.shards.clone(), soft_deadline);
+        let message = self.query.delegation(&host.cfg.headers, self.shards.clone(), soft_deadline);
         let accepted = async {
-            conn.send(&Message::Delegate(Box::new(delegation))).await?;
+            conn.send(&message).await?;
             conn.receive().await
         };
         match timeout(ACCEPT_TIMEOUT + peer.round_trip(), accepted).await {
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -144,12 +144,26 @@
                 return Err("no_routes");
             }
         }
-        if !self.freshness.polls_after_pause(self.cfg.max_config_age).await {
+        if !self.freshness.polls_after_pause(self.max_pause()).await {
             return Err("config_unconfirmed");
         }
         Ok(self.view())
     }
 
+    /// How long this process may have stood still before requests wait for polls.
+    fn max_pause(&self) -> Duration {
+        if self.view().table.tenants.is_empty() {
+            self.cfg.max_config_age
+        } else {
+            self.max_key_age()
+        }
+    }
+
+    /// Like [`Self::max_pause`], for requests with a key.
+    pub(super) fn max_key_age(&self) -> Duration {
+        self.cfg.max_config_age.min(self.cfg.revoke_age)
+    }
+
     pub(super) fn view(&self) -> Arc<View> {
         self.view.read().clone()
     }
@@ -204,6 +218,11 @@
         self.freshness.confirmed_at().map_or(-1, |it| it.elapsed().as_millis() as i64)
     }
 
+    /// Whether control hosts have confirmed the configuration in time, so that requests may be refused for good.
+    pub(super) fn is_config_confirmed(&self) -> bool {
+        self.freshness.age() <= self.cfg.max_config_age
+    }
+
     pub(super) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -33,6 +33,7 @@
 mod response;
 mod retired;
 mod run;
+mod sender;
 mod server;
 mod settings;
 mod split;
@@ -53,7 +54,9 @@
 pub use idle::IdleConnections;
 pub use records::merge_records;
 pub use run::{create, run, run_with};
-pub use settings::{DEFAULT_MAX_CONFIG_AGE, DEFAULT_MAX_DESCRIPTORS, Headers, Settings};
+pub use settings::{
+    DEFAULT_MAX_CONFIG_AGE, DEFAULT_MAX_DESCRIPTORS, DEFAULT_REVOKE_AGE, Headers, Settings,
+};
 pub use split::SplitPicker;
 pub use typical::LatencyEstimate;
 pub use view::{COLD_LABEL, SERVICE_LABEL};
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -26,12 +26,16 @@
         gather,
         host::Host,
         response::{self, Refusal},
+        sender::{self, Denial, Origin, Sender},
         settings::Headers,
         target::Target,
         view::{ResolvedRoute, ServiceKey, View},
     },
-    route::{self, Kind, TenantKey, To},
-    wire::relay::Delegation,
+    route::{self, Kind, To},
+    wire::{
+        self,
+        relay::{Delegation, Message},
+    },
 };
 
 /// Time that counts towards the caller's latency but passes outside this process: network transit and, now and then, an
@@ -61,8 +65,8 @@
     pub(super) view: Arc<View>,
     /// Position of the route in the routing table.
     index: usize,
-    /// The tenant, in the view's table.
-    tenant: Option<TenantKey>,
+    /// Who sends it; none on public routes and in tables without tenants.
+    sender: Option<Sender>,
     /// The regions that route and tenant have in common, if both have some.
     common_homes: Option<Vec<String>>,
     pub(super) request_id: Option<HeaderValue>,
@@ -90,7 +94,12 @@
 
     /// The tenant that sends the request; none on public routes and in tables without tenants.
     pub(super) fn tenant(&self) -> Option<&route::Tenant> {
-        self.tenant.map(|it| self.view.table.tenants.get(it))
+        self.sender.map(|it| self.view.table.tenants.get(it.tenant))
+    }
+
+    /// The tenant with the key by which it was found.
+    pub(super) fn sender(&self) -> Option<Sender> {
+        self.sender
     }
 
     /// The priority: that of the tenant if it has one, else that of the route; 0 is the highest.
@@ -109,6 +118,12 @@
         own.unwrap_or(&self.route().config.homes)
     }
 
+    /// Whether the target is in a region that may serve the request.
+    pub(super) fn allows(&self, target: &Target) -> bool {
+        let homes = self.homes();
+        homes.is_empty() || homes.contains(&target.region)
+    }
+
     /// The request id, for the log.
     pub(super) fn id(&self) -> &str {
         self.request_id.as_ref().and_then(|it| it.to_str().ok()).unwrap_or("-")
@@ -199,13 +214,13 @@
     }
 
     /// The message that delegates these shards to another relay. That relay must return results that have arrived by
-    /// `soft_deadline`.
+    /// `soft_deadline`. The headers contain no key.
     pub(super) fn delegation(
         &self,
         names: &Headers,
         shards: Vec<u16>,
         soft_deadline: Instant,
-    ) -> Delegation {
+    ) -> Message {
         let now = Instant::now();
         let left_ms = self.hard_deadline.saturating_duration_since(now).as_millis();
         let partial_after = soft_deadline.saturating_duration_since(now);
@@ -213,7 +228,7 @@
         let forwarded =
             forwarded.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()));
         let deadline = (names.deadline.to_string(), left_ms.to_string().into_bytes());
-        Delegation {
+        let delegation = Box::new(Delegation {
             version: self.view.table.version,
             shards,
             partial_after_us: u64::try_from(partial_after.as_micros()).unwrap_or(u64::MAX),
@@ -221,10 +236,19 @@
             uri: self.uri.to_string(),
             headers: forwarded.chain([deadline]).collect(),
             body: self.body.to_vec(),
+        });
+        match (self.sender, self.tenant()) {
+            (Some(sender), Some(tenant)) => {
+                let sender =
+                    wire::relay::Sender { tenant: tenant.name.clone(), key: sender.digest };
+                Message::DelegateFor(sender, delegation)
+            }
+            _ => Message::Delegate(delegation),
         }
     }
 
-    /// Finds the route of a request and computes its deadlines. The error is the reason why there is no route.
+    /// Finds the route and the sender of a request and computes its deadlines. The error is the reason why the table does
+    /// not admit it.
     pub(super) fn resolve(
         host: &Host,
         view: Arc<View>,
@@ -232,12 +256,14 @@
         head: Parts,
         body: Bytes,
         arrived: Instant,
-    ) -> Result<Self, &'static str> {
+        origin: &Origin<'_>,
+    ) -> Result<Self, Denial> {
         let Parts { method, uri, mut headers, .. } = head;
         let authority = uri.authority().map(|it| it.as_str().to_owned());
         let host_header = headers.get(HOST).and_then(|it| it.to_str().ok()).map(str::to_owned);
-        let Some(name) = host_header.or(authority) else { return Err("no_host") };
-        let Some(index) = view.table.index.find(&name, uri.path()) else { return Err("no_route") };
+        let name = host_header.or(authority).ok_or(Denial::no_route("no_host"))?;
+        let index = view.table.index.find(&name, uri.path());
+        let index = index.ok_or(Denial::no_route("no_route"))?;
         let names = &host.cfg.headers;
         let route = &view.table.routes[index].config;
         let limit = Duration::from_millis(route.timeout_ms);
@@ -256,11 +282,17 @@
         };
         response::strip_hop_by_hop(&mut headers);
         headers.remove(EXPECT);
+        let sender = sender::identify(host, &view.table, route, &mut headers, origin)?;
+        let tenant = sender.map(|it| view.table.tenants.get(it.tenant));
+        let common_homes = tenant.and_then(|it| common_homes(&route.homes, &it.homes));
+        if common_homes.as_ref().is_some_and(Vec::is_empty) {
+            return Err(Denial::no_common_region());
+        }
         let uri = uri.path_and_query().map_or(Uri::from_static("/"), |it| Uri::from(it.clone()));
         Ok(Self {
             index,
-            tenant: None,
-            common_homes: None,
+            sender,
+            common_homes,
             request_id: headers.get(&names.request_id).cloned(),
             arrived,
             soft_deadline: arrived + objective - overhead.min(objective / MAX_OVERHEAD_DIVISOR),
@@ -277,6 +309,12 @@
     }
 }
 
+/// The regions that are in both lists; none if one list is empty, which means all regions.
+fn common_homes(one: &[String], other: &[String]) -> Option<Vec<String>> {
+    let common = || one.iter().filter(|it| other.contains(it)).cloned().collect();
+    (!one.is_empty() && !other.is_empty()).then(common)
+}
+
 /// Processes a request whose body has been received.
 pub(super) async fn handle(
     host: &Arc<Host>,
@@ -290,9 +328,10 @@
         Err(cause) => return response::not_ready(cause),
     };
     let request_id = head.headers.get(&host.cfg.headers.request_id).cloned();
-    let query = match Query::resolve(host, view.clone(), connection, head, body, arrived) {
+    let origin = Origin::Caller;
+    let query = match Query::resolve(host, view.clone(), connection, head, body, arrived, &origin) {
         Ok(query) => Arc::new(query),
-        Err(cause) => return response::not_found(host, &view, request_id.as_ref(), cause),
+        Err(denial) => return response::deny(host, &view, request_id.as_ref(), denial),
     };
     if query.is_quarantined() {
         host.metrics.record_answer(&query, "quarantined");
--- a/src/relay/response.rs
+++ b/src/relay/response.rs
@@ -13,9 +13,10 @@
 };
 
 use crate::relay::{
-    exchange::{KEEP_ALIVE, TargetResponse},
+    exchange::{KEEP_ALIVE, NotRunReason, TargetResponse},
     host::Host,
     request::Query,
+    sender::Denial,
     view::View,
 };
 
@@ -57,15 +58,21 @@
     }
 }
 
-/// Builds the response for a request that failed, with `Retry-After` if nothing ran.
+/// Builds the response for a request that failed, with `Retry-After` if nothing ran. If nothing ran because the key has been
+/// withdrawn, the request ends like one with an unknown key.
 pub(super) fn refuse(host: &Host, query: &Query, refusal: &Refusal<'_>) -> Response<Full<Bytes>> {
+    let Refusal { mut status, cause } = *refusal;
+    let is_withdrawn = cause == <&str>::from(NotRunReason::KeyWithdrawn);
+    if is_withdrawn && status == StatusCode::SERVICE_UNAVAILABLE && host.is_config_confirmed() {
+        status = StatusCode::UNAUTHORIZED;
+    }
     log::info!(
         "event=refused request={} route={} status={} cause={} took_ms={} version={} revision={} \
          config_age_ms={}",
         query.id(),
         query.route().config.name,
-        refusal.status.as_u16(),
-        refusal.cause,
+        status.as_u16(),
+        cause,
         query.arrived.elapsed().as_millis(),
         query.view.table.version,
         query.view.revision,
@@ -74,7 +81,7 @@
     // A caller that comes back before a service has a target again would be refused once more.
     let paused = query.paused_for(Instant::now());
     let wait = paused.max(query.objective() / RETRY_AFTER_DIVISOR);
-    let mut response = text(refusal.status, refusal.cause, wait);
+    let mut response = text(status, cause, wait);
     set_request_id(host, query, response.headers_mut());
     response
 }
@@ -99,19 +106,19 @@
     text(StatusCode::SERVICE_UNAVAILABLE, cause, RETRY_AFTER_DEFAULT)
 }
 
-/// Builds the response for a request that the routing table does not allow. If control hosts have not confirmed the
-/// table in time, a newer one may allow it, so the caller is told to try again: callers do not repeat a request after 404.
-pub(super) fn not_found(
+/// Builds the response for a request that the routing table does not admit. If control hosts have not confirmed the
+/// table in time, a newer one may admit it, so the caller is told to try again: callers do not repeat a request after 401
+/// or 404.
+pub(super) fn deny(
     host: &Host,
     view: &View,
     request_id: Option<&HeaderValue>,
-    cause: &str,
+    denial: Denial,
 ) -> Response<Full<Bytes>> {
-    let (status, cause) = if host.freshness.age() > host.cfg.max_config_age {
-        (StatusCode::SERVICE_UNAVAILABLE, "config_unconfirmed")
-    } else {
-        (StatusCode::NOT_FOUND, cause)
-    };
+    let Denial { mut status, mut cause } = denial;
+    if status != StatusCode::SERVICE_UNAVAILABLE && !host.is_config_confirmed() {
+        (status, cause) = (StatusCode::SERVICE_UNAVAILABLE, "config_unconfirmed");
+    }
     log::info!(
         "event=refused request={} status={} cause={cause} version={} revision={} config_age_ms={}",
         request_id.and_then(|it| it.to_str().ok()).unwrap_or("-"),
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -9,6 +9,9 @@
 /// Default of [`Settings::max_config_age`].
 pub const DEFAULT_MAX_CONFIG_AGE: Duration = Duration::from_millis(3_000);
 
+/// Default of [`Settings::revoke_age`].
+pub const DEFAULT_REVOKE_AGE: Duration = Duration::from_millis(5_000);
+
 /// Default of [`Settings::max_descriptors`].
 pub const DEFAULT_MAX_DESCRIPTORS: u64 = 4_096;
 
@@ -70,6 +73,12 @@
     /// A request for a route that the configuration does not have is refused for good only while control hosts have
     /// confirmed the configuration within this time. Later the route may exist, and the caller is told to try again.
     pub max_config_age: Duration,
+    /// The time after which a withdrawn key must not be accepted any more. A process that stood still for longer first waits
+    /// for polls.
+    pub revoke_age: Duration,
+    /// Whether a host that has not had its configuration confirmed within [`Self::revoke_age`] refuses requests with keys.
+    /// Otherwise it goes on with the tenants that it knows.
+    pub revoke_everywhere: bool,
     /// The time from the signal to stop until the process is killed.
     pub grace_period: Duration,
     /// The number of descriptors that the process may have open, if the operating system has no lower limit.
--- a/src/relay/wait.rs
+++ b/src/relay/wait.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     policy::queue::{Bounds, Queue, Ticket},
-    relay::{request::Query, target::Target, view::Service},
+    relay::{exchange::NotRunReason, host::Host, request::Query, target::Target, view::Service},
 };
 
 /// A single request waits for a target at most for the time until its hard deadline divided by this, so that its caller
@@ -56,6 +56,7 @@
 
 /// Waits until `pick` finds a target. The error is the reason why it is of no use to wait any longer.
 pub(super) async fn for_target(
+    host: &Host,
     query: &Query,
     service: &Service,
     mut pick: impl FnMut() -> Option<Arc<Target>>,
@@ -69,6 +70,9 @@
     let bounds = bounds(query);
     let mut woken = false;
     loop {
+        if host.is_key_withdrawn(query) {
+            return Err(NotRunReason::KeyWithdrawn.into());
+        }
         let now = Instant::now();
         let is_spare = query.has_spare_shards();
         let Some((class, until)) = bounds.stage(now, is_spare) else {
@@ -83,7 +87,7 @@
         if has_turn && let Some(target) = pick() {
             return Ok(target);
         }
-        if !service.targets.iter().any(|it| it.is_usable()) {
+        if !service.targets.iter().any(|it| it.is_usable() && query.allows(it)) {
             return Err("no_target");
         }
         if service.paused_until(now).is_some_and(|it| it >= bounds.hard) {
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::wire::control::ProcessId;
+use crate::{route::KeyDigest, wire::control::ProcessId};
 
 /// A message from the delegating relay to the delegate.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,6 +18,18 @@
     /// The caller has its response. The connection is closed next, but requests that are running at targets are not
     /// cancelled.
     Detach,
+    /// Like `Delegate`, for the request of a tenant. Appended, because the position of a variant is part of the encoding; a
+    /// relay of a release without tenants closes the connection.
+    DelegateFor(Sender, Box<Delegation>),
+}
+
+/// The tenant that sends a request. The delegate accepts it only if the tenant holds the key in its table as well.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sender {
+    /// The name of the tenant.
+    pub tenant: String,
+    /// The digest of its key, by which the delegate notices that the key is withdrawn.
+    pub key: KeyDigest,
 }
 
 /// A request, and the shards of it that the delegate should query.
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -16,3 +16,4 @@
 mod supervision;
 mod support;
 mod suspect;
+mod tenants;
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -15,7 +15,7 @@
     error::Result,
     lab::control::{self, ControlHandler},
     relay::{self, Headers, SERVICE_LABEL, Settings},
-    route::{Kind, Limits, Route, Service, Shards, Table, To},
+    route::{Kind, Limits, Route, Service, Shards, Table, Tenant, To},
     state::{Change, Config, Entry, Phase, Reply, Tables, Target},
     wire::control::{Poll, Submit, Update},
 };
@@ -325,6 +325,14 @@
         assert!(matches!(reply, Reply::Applied { .. }), "{reply:?}");
     }
 
+    /// Replaces the tenants.
+    pub fn put_tenants(&self, tenants: Vec<Tenant>) {
+        let table = self.tables.lock().config.routes.clone();
+        let version = table.version + 1;
+        let reply = self.apply(Change::PutRoutes(Box::new(Table { version, tenants, ..table })));
+        assert!(matches!(reply, Reply::Applied { .. }), "{reply:?}");
+    }
+
     pub fn apply(&self, change: Change) -> Reply {
         let mut tables = self.tables.lock();
         let base = Some(tables.config.operator_revision);
@@ -409,6 +417,14 @@
         self.control.apply(Change::PutTarget(target(name, service, zone, addr)));
     }
 
+    /// Limits the requests in flight at each target.
+    pub fn limit_connections(&self, max_connections: u32) {
+        let mut table = self.control.tables.lock().config.routes.clone();
+        table.version += 1;
+        table.services.values_mut().for_each(|it| it.max_connections = max_connections);
+        self.control.apply(Change::PutRoutes(Box::new(table)));
+    }
+
     /// Replaces the routing table and waits until the relay can route requests.
     pub async fn put_routes(&self, routes: Vec<Route>) {
         self.put_routes_with(routes, &Service { max_connections: 64, cold_millis_per_s: 0 }).await;
@@ -519,6 +535,8 @@
         retry_initial: 0,
         address_ttl: Duration::from_secs(1),
         max_config_age: relay::DEFAULT_MAX_CONFIG_AGE,
+        revoke_age: relay::DEFAULT_REVOKE_AGE,
+        revoke_everywhere: false,
         grace_period: Duration::from_secs(2),
         max_descriptors: relay::DEFAULT_MAX_DESCRIPTORS,
     }
