--- a/tests/route/main.rs
+++ b/tests/route/main.rs
@@ -2,6 +2,7 @@
 
 mod document;
 mod patch;
+mod tenant;
 
 use std::collections::BTreeMap;
 
