--- a/src/relay/group.rs
+++ b/src/relay/group.rs
@@ -75,7 +75,7 @@
     shards: &Shards,
 ) -> (Vec<ServiceKey>, Vec<DelegatedGroup>) {
     let route = query.route();
-    let homes = &route.config.homes;
+    let homes = query.homes();
     let is_home_region = homes.is_empty() || homes.iter().any(|it| it == host.cfg.own_region());
     if shards.top > MAX_DELEGATED_RECORDS || !is_home_region {
         return (route.services.clone(), Vec::new());
@@ -138,10 +138,9 @@
             Err(err) => return Err(self.on_rejected(host, &err.to_string(), false)),
         };
         let soft_deadline = self.query.soft_deadline - peer.round_trip() / 2 - DELEGATE_OVERHEAD;
-        let delegation =
-            self.query.delegation(&host.cfg.headers, self.shards.clone(), soft_deadline);
+        let message = self.query.delegation(&host.cfg.headers, self.shards.clone(), soft_deadline);
         let accepted = async {
-            conn.send(&Message::Delegate(Box::new(delegation))).await?;
+            conn.send(&message).await?;
             conn.receive().await
         };
         match timeout(ACCEPT_TIMEOUT + peer.round_trip(), accepted).await {
--- a/src/relay/wait.rs
+++ b/src/relay/wait.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     policy::queue::{Bounds, Class, Queue, Ticket},
-    relay::{request::Query, target::Target, view::Service},
+    relay::{exchange::NotRunReason, host::Host, request::Query, target::Target, view::Service},
 };
 
 /// A single request waits for a target at most for the time until its hard deadline divided by this, so that its caller
@@ -60,6 +60,7 @@
 
 /// Waits until `pick` finds a target. The error is the reason why it is of no use to wait any longer.
 pub(super) async fn for_target(
+    host: &Host,
     query: &Query,
     service: &Service,
     mut pick: impl FnMut() -> Option<Arc<Target>>,
@@ -69,10 +70,13 @@
     {
         return Ok(target);
     }
-    let priority = query.route().config.priority;
+    let priority = query.priority();
     let bounds = bounds(query);
     let mut woken = false;
     loop {
+        if host.is_key_withdrawn(query) {
+            return Err(NotRunReason::KeyWithdrawn.into());
+        }
         let now = Instant::now();
         let is_spare = query.has_spare_shards();
         let Some((class, until)) = bounds.stage(now, is_spare) else {
@@ -87,7 +91,7 @@
         if has_turn && let Some(target) = pick() {
             return Ok(target);
         }
-        if !service.targets.iter().any(|it| it.is_usable()) {
+        if !service.targets.iter().any(|it| it.is_usable() && query.allows(it)) {
             return Err("no_target");
         }
         if service.paused_until(now).is_some_and(|it| it >= bounds.hard) {
@@ -123,7 +127,7 @@
     let wait = if queue.len() < MIN_BACKLOG {
         Duration::ZERO
     } else {
-        let ticket = queue.ticket(class, query.route().config.priority, latest);
+        let ticket = queue.ticket(class, query.priority(), latest);
         queue.predicted_wait(&ticket)
     };
     (wait, latest.saturating_duration_since(now))
