--- a/src/route/encoding.rs
+++ b/src/route/encoding.rs
@@ -12,7 +12,7 @@
 
 use crate::route::{Limits, Route, Service, Table, Tenant};
 
-/// In place of the version, says that the fields of [`Extension`] follow. No table may have this version.
+/// In place of the version, says that the version, the old fields and the [`Extension`] follow. No table may have this version.
 pub(super) const EXTENDED_VERSION: u64 = u64::MAX;
 
 /// The number of fields of the first encoding.
@@ -21,13 +21,8 @@
 /// The marker, the fields of the first encoding, and the extension.
 const EXTENDED_FIELDS: usize = PLAIN_FIELDS + 2;
 
-/// What the first encoding does not have.
-#[derive(Serialize, Deserialize)]
-struct Extension {
-    /// The positions of the public routes.
-    public: Vec<u64>,
-    tenants: Vec<Tenant>,
-}
+/// What the first encoding does not have: the positions of the public routes, and the tenants.
+type Extension = (Vec<u64>, Vec<Tenant>);
 
 impl Serialize for Table {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
@@ -45,7 +40,7 @@
         tuple.serialize_element(services)?;
         tuple.serialize_element(limits)?;
         if is_extended {
-            tuple.serialize_element(&Extension { public, tenants: tenants.clone() })?;
+            tuple.serialize_element(&(public, tenants))?;
         }
         tuple.end()
     }
@@ -76,12 +71,12 @@
         let limits: Limits = field(&mut fields)?;
         let mut tenants = Vec::new();
         if is_extended {
-            let extension: Extension = field(&mut fields)?;
-            for i in extension.public {
+            let public: Vec<u64>;
+            (public, tenants) = field::<_, Extension>(&mut fields)?;
+            for i in public {
                 let route = usize::try_from(i).ok().and_then(|it| routes.get_mut(it));
                 route.ok_or_else(|| A::Error::custom("no such public route"))?.public = true;
             }
-            tenants = extension.tenants;
         }
         Ok(Table { version, document, routes, services, limits, tenants })
     }
