route: positions of public routes keep their width

The type is now written out.

New tests: a delegate refuses a tenant that its own table does not have, and the priority of a tenant goes before its route's.

--- a/src/route/encoding.rs
+++ b/src/route/encoding.rs
@@ -27,7 +27,8 @@
 impl Serialize for Table {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let Self { version, document, routes, services, limits, tenants } = self;
-        let public: Vec<_> = (0..).zip(routes).filter(|(_, it)| it.public).map(|it| it.0).collect();
+        let public: Vec<u64> =
+            (0..).zip(routes).filter(|(_, it)| it.public).map(|it| it.0).collect();
         let is_extended = !tenants.is_empty() || !public.is_empty();
         let fields = if is_extended { EXTENDED_FIELDS } else { PLAIN_FIELDS };
         let mut tuple = serializer.serialize_tuple(fields)?;
--- a/tests/relay/tenants.rs
+++ b/tests/relay/tenants.rs
@@ -2,12 +2,15 @@
 
 use std::time::{Duration, Instant};
 
+use futures::{SinkExt, StreamExt};
 use gentianpass::{
     route::{KeyDigest, Kind, PPM_SCALE, Route, Tenant},
     state::{Change, Config, Phase},
+    wire::relay::{Delegation, Message, Reply, Sender},
 };
 use hyper::{Request, StatusCode, http::request::Builder};
-use tokio::time::sleep;
+use tokio::{net::TcpStream, time::sleep};
+use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::{
     fake_control::{Answer, FakeControl, config, whole},
@@ -123,6 +126,65 @@
     assert!(delegate.metrics().contains("exchanges_total{outcome=\"answered\"} 3"));
 }
 
+/// Guards against a delegate that trusts a header or a name, or takes over a key that its own table does not have.
+#[tokio::test]
+async fn delegate_refuses_unknown_sender() {
+    let (harness, target) = start(vec![gather(&["s"], PPM_SCALE)], vec![one()]).await;
+    let delegation = || {
+        let headers = [("host", "labels.example"), ("tenant", "one"), ("credential", KEY)];
+        let headers = headers.map(|(name, it)| (name.to_owned(), it.as_bytes().to_vec()));
+        Box::new(Delegation {
+            version: 2,
+            shards: vec![0],
+            partial_after_us: 900_000,
+            method: "GET".into(),
+            uri: "/all/x".into(),
+            headers: headers.to_vec(),
+            body: Vec::new(),
+        })
+    };
+    let sender = |tenant: &str, key: &str| Sender {
+        tenant: tenant.into(),
+        key: KeyDigest::new(key.as_bytes()),
+    };
+    let stream = TcpStream::connect(harness.control.rpc_addr("relay-1")).await.unwrap();
+    let mut conn = LengthDelimitedCodec::builder().new_framed(stream);
+    let mut send = async |message: Message| -> Reply {
+        conn.send(bytes::Bytes::from(bincode::serialize(&message).unwrap())).await.unwrap();
+        bincode::deserialize(&conn.next().await.unwrap().unwrap()).unwrap()
+    };
+    for (message, cause) in [
+        (Message::Delegate(delegation()), "no_tenant"),
+        (Message::DelegateFor(sender("two", KEY), delegation()), "unknown_tenant"),
+        (Message::DelegateFor(sender("one", "other"), delegation()), "unknown_key"),
+    ] {
+        assert_eq!(send(message).await, Reply::Refused(cause.into()));
+    }
+    assert_eq!(target.request_count(), 0);
+    let accepted = send(Message::DelegateFor(sender("one", KEY), delegation())).await;
+    assert_eq!(accepted, Reply::Accepted);
+    harness.wait_until(|| target.request_count() == 1).await;
+    assert_eq!(names(&target), named(1));
+}
+
+/// Guards against a tenant whose priority does not count, or counts after that of the route.
+#[tokio::test]
+async fn priority_of_tenant_first() {
+    let urgent = Tenant { priority: Some(0), ..tenant("two", &["urgent"]) };
+    let (harness, target) = start(vec![single(Kind::AtMostOnce)], vec![one(), urgent]).await;
+    *target.behaviour.lock() = Behaviour::Slow(Duration::from_millis(250), record(1));
+    harness.limit_connections(1);
+    sleep(Duration::from_millis(200)).await;
+    let send = async |delay_ms: u64, key: &str| {
+        sleep(Duration::from_millis(delay_ms)).await;
+        harness.send(Request::get("/one/x").header("credential", key)).await.0
+    };
+    let statuses = tokio::join!(send(0, KEY), send(60, KEY), send(120, "urgent"));
+    assert_eq!(statuses, (StatusCode::OK, StatusCode::OK, StatusCode::OK));
+    let order: Vec<_> = names(&target).into_iter().flatten().collect();
+    assert_eq!(order, ["one", "two", "one"]);
+}
+
 /// Guards against a withdrawn key that goes on working on an open connection, for a request that waits, or after another
 /// tenant has got it.
 #[tokio::test]
