state: rollouts, evidence of relays

Change: state::rollout (Rollout, Stage, Start, Advance, Rollouts), Config::rollouts and Config::service_versions, Change::StartRollout and AdvanceRollout, the label `software`, policy::rollout::Counts, wire::control::Evidence and the appended RPC record_evidence, which a follower forwards once.

The digest has them only if there are any. The leader does not evaluate the evidence yet.

--- a/examples/peers.rs
+++ b/examples/peers.rs
@@ -139,7 +139,7 @@
         let received = bincode::serialized_size(&update).unwrap_or(0);
         counts.bytes.fetch_add(sent + received, Ordering::Relaxed);
         let newest = match update {
-            Update::Config(config) => Some(config.revision),
+            Update::Config(config) | Update::Packed(config, _) => Some(config.revision),
             Update::Changes(changes) => changes.last().map(|it| it.revision),
         };
         if let Some(newest) = newest {
--- a/src/cmd/diff.rs
+++ b/src/cmd/diff.rs
@@ -115,7 +115,7 @@
     Ok(compare(&before, &after))
 }
 
-/// Rebuilds the configuration from the state that the API returns. Routes are left empty, and `now_ms` is 0: the API
+/// Rebuilds the configuration from the state that the API returns. Routes and rollouts are left empty, and `now_ms` is 0: the API
 /// returns neither.
 pub fn config_from_state(state: &State) -> Config {
     Config {
@@ -141,6 +141,8 @@
             })
             .collect(),
         routes: Default::default(),
+        rollouts: Default::default(),
+        service_versions: Default::default(),
     }
 }
 
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -24,8 +24,8 @@
     wire::{
         MAX_FRAME_BYTES,
         control::{
-            MemberEndpoint, Poll, ServiceClient, ServiceRequest, ServiceResponse, Standing, Submit,
-            Update,
+            Evidence, MemberEndpoint, Poll, ServiceClient, ServiceRequest, ServiceResponse,
+            Standing, Submit, Update,
         },
     },
 };
@@ -83,7 +83,7 @@
         let timeout = Duration::from_millis(poll.wait_ms) + POLL_GRACE;
         let (host, client) = self.connect().await?;
         let response = client.poll(context_with_timeout(timeout), poll).await;
-        self.check_response(host, response)
+        self.check_response(host, response).map(Update::unpacked)
     }
 
     /// Returns the zones and RPC addresses of the cluster members.
@@ -100,6 +100,14 @@
         self.check_response(host, response.map(Ok))
     }
 
+    /// Sends evidence about the running rollouts, once. It is cumulative, so that a failed call need not be repeated.
+    pub async fn record_evidence(&self, evidence: Evidence) -> Result<()> {
+        let (host, client) = self.connect().await?;
+        let response =
+            client.record_evidence(context_with_timeout(CALL_TIMEOUT), evidence, false).await;
+        self.check_response(host, response)
+    }
+
     /// Submits a change and retries on any error until `timeout`. After an error the change may still have been
     /// committed.
     pub async fn submit(
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -25,7 +25,7 @@
     },
     state::{ChangeId, Reply},
     store,
-    wire::control::{Identity, JoinReply, ProcessId, Submit},
+    wire::control::{Evidence, Identity, JoinReply, ProcessId, Submit},
 };
 
 /// Longest interval between two ticks of the Raft core, which drive its heartbeats and election timeouts.
@@ -54,6 +54,8 @@
     /// Asks for a read index: a commit index that a quorum confirms. Also carries the heartbeats that came with the
     /// read.
     Read(Vec<ProcessId>, Responder<Index>),
+    /// Evidence of a relay about the running rollouts.
+    Evidence(Evidence),
     /// A host that asks to be added to the membership as a learner, or whose name, zone or address changed.
     Join(Identity, Responder<JoinReply>),
     /// Creates a new cluster with these voters.
@@ -167,6 +169,7 @@
                 Input::Message(from, message) => self.receive(from, message)?,
                 Input::Propose(submit, tx) => self.propose(&submit, tx, &mut proposals),
                 Input::Read(heartbeats, tx) => self.read(heartbeats, tx)?,
+                Input::Evidence(evidence) => self.record_evidence(evidence),
                 Input::Join(identity, tx) => self.join(identity, tx)?,
                 Input::Bootstrap(initial_voters, tx) => self.bootstrap(initial_voters, tx)?,
                 Input::Stop(tx) => {
--- a/src/control/host.rs
+++ b/src/control/host.rs
@@ -27,7 +27,8 @@
     settings,
     state::{Change, Reply, Revision, Tables},
     wire::control::{
-        Identity, MemberEndpoint, Poll, ProcessId, ServiceClient, Standing, Submit, Update,
+        Evidence, Identity, MemberEndpoint, Poll, ProcessId, ServiceClient, Standing, Submit,
+        Update,
     },
 };
 
@@ -251,6 +252,23 @@
             .collect()
     }
 
+    /// Keeps evidence of a relay if this host leads, else forwards it to the leader. It is forwarded only once: two hosts
+    /// may each take the other one for the leader.
+    pub async fn record_evidence(&self, evidence: Evidence, forwarded: bool) -> Result<()> {
+        let (leader, addr) = self.leader().await?;
+        if leader == self.id {
+            self.notify_driver(Input::Evidence(evidence));
+            return Ok(());
+        }
+        if forwarded {
+            return Err(Error::new(Kind::NoQuorum, "this control host is not the leader"));
+        }
+        let call = async |client: &ServiceClient, context| {
+            client.record_evidence(context, evidence, true).await
+        };
+        self.peers.get(addr).call(READ_BARRIER_TIMEOUT, call).await?
+    }
+
     /// Describes the local state, for relays that compare it with what other control hosts have told them.
     pub fn standing(&self) -> Standing {
         let cluster = self.cluster_status.borrow().cluster;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -25,6 +25,7 @@
 mod raft_transport;
 mod registry;
 pub mod repair;
+mod rollout;
 mod rpc;
 mod run;
 mod state_machine;
--- a/src/control/poller.rs
+++ b/src/control/poller.rs
@@ -241,6 +241,7 @@
             *config = *new;
             Ok(changed.then(|| format!("revision {}: full configuration", config.revision)))
         }
+        packed @ Update::Packed(..) => apply_update(config, packed.unpacked()),
     }
 }
 
@@ -263,6 +264,12 @@
         Change::Leave { name, .. } => format!("target {name} leaves"),
         Change::Exonerate { fingerprint } => format!("{fingerprint:016x} was answered"),
         Change::Tick => "expired suspect requests".into(),
+        Change::StartRollout(it) => {
+            format!("rollout of {} to {:?} was ordered", it.service, it.target_version)
+        }
+        Change::AdvanceRollout(it) => {
+            format!("rollout of {} to {:?} is {}", it.service, it.target_version, it.stage)
+        }
         Change::Claim(_) | Change::Settle { .. } => "changed claims".into(),
     };
     format!("revision {revision}: {description}")
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -27,8 +27,8 @@
     wire::{
         MAX_FRAME_BYTES,
         control::{
-            Identity, JoinReply, MemberEndpoint, Poll, ProcessId, Service, ServiceRequest,
-            ServiceResponse, Standing, Submit, Update,
+            Evidence, Identity, JoinReply, MemberEndpoint, Poll, ProcessId, Service,
+            ServiceRequest, ServiceResponse, Standing, Submit, Update,
         },
     },
 };
@@ -52,7 +52,7 @@
 
 impl Service for Server {
     async fn poll(self, _: Context, poll: Poll) -> Result<Update> {
-        self.host.poll(poll).await
+        self.host.poll(poll).await.map(Update::packed)
     }
 
     async fn submit(self, _: Context, submit: Submit) -> Result<Reply> {
@@ -88,6 +88,10 @@
     async fn standing(self, _: Context) -> Standing {
         self.host.standing()
     }
+
+    async fn record_evidence(self, _: Context, evidence: Evidence, forwarded: bool) -> Result<()> {
+        self.host.record_evidence(evidence, forwarded).await
+    }
 }
 
 /// Accepts connections until the future is dropped, which also cancels their requests.
--- a/src/control/state_machine.rs
+++ b/src/control/state_machine.rs
@@ -35,7 +35,10 @@
         let mut rest = data;
         self.tables = bincode::deserialize_from(&mut rest)?;
         if !rest.is_empty() {
-            self.tables.departures = bincode::deserialize_from(rest)?;
+            self.tables.departures = bincode::deserialize_from(&mut rest)?;
+        }
+        if !rest.is_empty() {
+            self.tables.config.set_rollouts(bincode::deserialize_from(rest)?);
         }
         self.history = History::default();
         self.index = index;
@@ -47,6 +50,10 @@
         let mut data = bincode::serialize(&self.tables).expect("tables can be serialized");
         bincode::serialize_into(&mut data, &self.tables.departures)
             .expect("departures can be serialized");
+        let rollouts = self.tables.config.rollouts();
+        if !rollouts.is_empty() {
+            bincode::serialize_into(&mut data, &rollouts).expect("rollouts can be serialized");
+        }
         data
     }
 
--- a/src/lab/control.rs
+++ b/src/lab/control.rs
@@ -18,7 +18,8 @@
     wire::{
         MAX_FRAME_BYTES,
         control::{
-            Identity, JoinReply, MemberEndpoint, Poll, ProcessId, Service, Standing, Submit, Update,
+            Evidence, Identity, JoinReply, MemberEndpoint, Poll, ProcessId, Service, Standing,
+            Submit, Update,
         },
     },
 };
@@ -29,6 +30,8 @@
     fn poll(&self, poll: Poll) -> impl Future<Output = Result<Update>> + Send;
     /// Answers a submitted change.
     fn submit(&self, submit: Submit) -> impl Future<Output = Result<Reply>> + Send;
+    /// Records evidence about rollouts. By default it is dropped.
+    fn record_evidence(&self, _: Evidence) {}
     /// Describes the local state. By default it is empty, so that it is never newer than that of another host.
     fn standing(&self) -> Standing {
         Standing {
@@ -63,7 +66,7 @@
 
 impl<C: ControlHandler> Service for Server<C> {
     async fn poll(self, _: Context, poll: Poll) -> Result<Update> {
-        self.0.poll(poll).await
+        self.0.poll(poll).await.map(Update::packed)
     }
 
     async fn submit(self, _: Context, submit: Submit) -> Result<Reply> {
@@ -101,6 +104,11 @@
     async fn standing(self, _: Context) -> Standing {
         self.0.standing()
     }
+
+    async fn record_evidence(self, _: Context, evidence: Evidence, _: bool) -> Result<()> {
+        self.0.record_evidence(evidence);
+        Ok(())
+    }
 }
 
 fn no_quorum() -> Error {
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -18,7 +18,7 @@
 };
 
 /// Label of a target that names its service.
-pub const SERVICE_LABEL: &str = "service";
+pub use crate::state::SERVICE_LABEL;
 
 /// Label of a target that is in a cold start; its value is `true`.
 pub const COLD_LABEL: &str = "cold";
--- a/src/state/change.rs
+++ b/src/state/change.rs
@@ -5,7 +5,10 @@
 use crate::{
     error::{Error, Outcome},
     route,
-    state::{Claim, Group, Node, Object, Revision, Selector, Settlement, Target},
+    state::{
+        Claim, Group, Node, Object, Revision, Selector, Settlement, Target,
+        rollout::{Advance, Start},
+    },
 };
 
 /// Identifies a change, so that a change that is sent again is applied only once.
@@ -105,6 +108,10 @@
         /// Maximum difference between the clocks of two hosts, in milliseconds.
         max_clock_skew_ms: u64,
     },
+    /// Starts a rollout.
+    StartRollout(Start),
+    /// Takes a rollout a step further.
+    AdvanceRollout(Advance),
 }
 
 impl Change {
--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -12,7 +12,10 @@
 use crate::{
     error::{Error, Kind},
     route,
-    state::{Change, DRAIN_LABEL, Labels, Match, Object, ObjectKind, Reply, Suspect, check_name},
+    state::{
+        Change, DRAIN_LABEL, Labels, Match, Object, ObjectKind, Reply, Rollout, SOFTWARE_LABEL,
+        Suspect, check_name, rollout::check_software,
+    },
 };
 
 /// Number of a configuration. Each change that alters the configuration increments it.
@@ -144,6 +147,15 @@
     pub suspects: BTreeMap<u64, Suspect>,
     /// The route table in force.
     pub routes: route::Table,
+    /// The last rollout of each service that had one. Encoded apart (see [`state::rollout::Rollouts`]): earlier releases do
+    /// not have it.
+    ///
+    /// [`state::rollout::Rollouts`]: crate::state::rollout::Rollouts
+    #[serde(skip)]
+    pub rollouts: BTreeMap<String, Rollout>,
+    /// The software version in force of each service with targets whose version is known. Encoded apart like `rollouts`.
+    #[serde(skip)]
+    pub service_versions: BTreeMap<String, String>,
 }
 
 impl Config {
@@ -223,6 +235,7 @@
                 let removed = current && self.targets.remove(name).is_some();
                 if removed {
                     self.remove_superseded_versions();
+                    self.remove_unused_service_versions();
                 }
                 Ok(removed)
             }
@@ -236,6 +249,8 @@
             }
             Change::Exonerate { fingerprint } => Ok(self.suspects.remove(fingerprint).is_some()),
             Change::Tick => Ok(self.expire_suspects()),
+            Change::StartRollout(start) => self.start_rollout(start),
+            Change::AdvanceRollout(advance) => self.advance_rollout(advance),
             Change::Claim(_) | Change::Settle { .. } => Ok(false),
         }
     }
@@ -298,6 +313,8 @@
         }
         table.check().map_err(|it| Error::new(Kind::BadRequest, it.to_string()))?;
         self.routes = table.clone();
+        self.end_rollouts_of_removed_services();
+        self.remove_unused_service_versions();
         Ok(true)
     }
 
@@ -326,7 +343,7 @@
         check_name(&target.zone)?;
         for (key, value) in &target.labels {
             check_name(key)?;
-            check_name(value)?;
+            if key == SOFTWARE_LABEL { check_software(value)? } else { check_name(value)? }
         }
         if target.slots == 0 || target.warm_up == 0 || target.connections == 0 {
             let message = "slots, warm_up and connections must be at least 1";
@@ -352,6 +369,7 @@
             let key = (holding.index.clone(), holding.version);
             self.versions.entry(key).or_insert(Version { shards: holding.shards });
         }
+        self.record_service_version(&target);
         self.targets.insert(target.name.clone(), target);
         self.remove_superseded_versions();
         Ok(true)
--- a/src/state/digest.rs
+++ b/src/state/digest.rs
@@ -71,6 +71,8 @@
             versions,
             suspects,
             routes: Table { version, document: _, routes, services, limits },
+            rollouts,
+            service_versions,
         } = self;
         let shared = Shared {
             revision: *revision,
@@ -87,6 +89,11 @@
         let mut hasher = Hasher(Xxh3::new());
         // Numbers are encoded in little-endian order with a fixed width, `usize` as 64 bits.
         bincode::serialize_into(&mut hasher, &shared).expect("configurations can be serialized");
+        // Left out while empty, so that the digest is that of earlier releases, which do not have them.
+        if !rollouts.is_empty() || !service_versions.is_empty() {
+            bincode::serialize_into(&mut hasher, &(rollouts, service_versions))
+                .expect("rollouts can be serialized");
+        }
         hasher.0.digest()
     }
 }
--- a/src/state/label.rs
+++ b/src/state/label.rs
@@ -13,6 +13,12 @@
 /// Label of a zone, entry host or target that gets no new work while the value is `true`.
 pub const DRAIN_LABEL: &str = "drain";
 
+/// Label of a target with the name of the service that it belongs to.
+pub const SERVICE_LABEL: &str = "service";
+
+/// Label of a target with its software version. Targets without it have an unknown version.
+pub const SOFTWARE_LABEL: &str = "software";
+
 /// Labels of one object, by key.
 pub type Labels = BTreeMap<String, String>;
 
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -11,6 +11,7 @@
 mod departure;
 mod digest;
 mod label;
+pub mod rollout;
 mod suspect;
 mod tables;
 mod version;
@@ -20,7 +21,11 @@
 pub use claim::{Claim, Claims, KEY_LIFETIME_MS, Settlement};
 pub use config::{Config, Group, Holding, Node, Phase, Revision, Selector, Target, Version};
 pub use departure::Departures;
-pub use label::{DRAIN_LABEL, Labels, MAX_NAME_BYTES, Match, Object, ObjectKind, check_name};
+pub use label::{
+    DRAIN_LABEL, Labels, MAX_NAME_BYTES, Match, Object, ObjectKind, SERVICE_LABEL, SOFTWARE_LABEL,
+    check_name,
+};
+pub use rollout::{Rollout, Stage};
 pub use suspect::{QUARANTINE_MIN_TARGETS, QUARANTINE_MS, Suspect};
 pub use tables::Tables;
 pub use view::{GroupView, NodeKey, NodeView, TargetKey, TargetView, VersionView, View};
--- a/src/wire/control.rs
+++ b/src/wire/control.rs
@@ -6,8 +6,9 @@
 
 use crate::{
     error::Error,
+    policy::rollout::Counts,
     raft::{Index, MemberId, Message},
-    state::{Change, ChangeId, Config, Reply, Revision},
+    state::{Change, ChangeId, Config, Reply, Revision, rollout::Rollouts},
 };
 
 /// A long poll for configuration changes. A successful poll also renews the freshness lease of an entry host.
@@ -33,6 +34,33 @@
     /// The whole configuration, if it is smaller than the changes since the polled revision, or if these are not
     /// available: the polled revision is too old, or newer than this configuration.
     Config(Box<Config>),
+    /// Like `Config`, with the rollouts, which are encoded apart from it. Sent only if there are any: earlier releases do
+    /// not know this variant. [`Self::unpacked`] restores the configuration.
+    Packed(Box<Config>, Rollouts),
+}
+
+impl Update {
+    /// The update in the form in which it is sent.
+    pub fn packed(self) -> Self {
+        match self {
+            Self::Config(mut config) if !config.has_no_rollouts() => {
+                let rollouts = config.take_rollouts();
+                Self::Packed(config, rollouts)
+            }
+            update => update,
+        }
+    }
+
+    /// The update as received, with the rollouts in the configuration.
+    pub fn unpacked(self) -> Self {
+        match self {
+            Self::Packed(mut config, rollouts) => {
+                config.set_rollouts(rollouts);
+                Self::Config(config)
+            }
+            update => update,
+        }
+    }
 }
 
 /// A committed change that has been applied to the configuration.
@@ -121,6 +149,44 @@
     pub digest: u64,
 }
 
+/// What a relay has seen of the running rollouts. The counts are cumulative, so that loss, repetition and reordering are
+/// harmless.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// The process of the relay.
+    pub reporter: ProcessId,
+    /// The revision of the configuration by which it chooses targets.
+    pub revision: Revision,
+    /// The running rollouts that it follows.
+    pub observations: Vec<Observation>,
+}
+
+/// What a relay has seen of one rollout since it started to follow it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Observation {
+    /// Name of the service.
+    pub service: String,
+    /// The new software version.
+    pub target_version: String,
+    /// [`Rollout::started_ms`](crate::state::Rollout::started_ms), which tells rollouts to the same version apart.
+    pub started_ms: u64,
+    /// Number of exchanges in flight at targets of the old version.
+    pub old_in_flight: u64,
+    /// The counts of each route with an answer.
+    pub routes: Vec<Comparison>,
+}
+
+/// The cumulative counts of both sides on one route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Comparison {
+    /// Name of the route.
+    pub route: String,
+    /// Answers of targets with the old version.
+    pub old: Counts,
+    /// Answers of targets with the new version.
+    pub new: Counts,
+}
+
 /// The RPC service of control hosts. The methods from `identity` to `propose` are for other control hosts only. New methods
 /// are appended, because messages have the position of their method: a process of another release would take one for
 /// another.
@@ -146,4 +212,7 @@
     /// Describes the local state of this host, without waiting for others. A host of an earlier release closes the
     /// connection.
     async fn standing() -> Standing;
+    /// Records evidence of a relay, and forwards it to the leader unless another control host has forwarded it already. A
+    /// host of an earlier release closes the connection.
+    async fn record_evidence(evidence: Evidence, forwarded: bool) -> Result<(), Error>;
 }
--- a/tests/control/polls.rs
+++ b/tests/control/polls.rs
@@ -37,6 +37,7 @@
                     }
                 }
                 Update::Config(it) => config = *it,
+                Update::Packed(..) => panic!("packed update"),
             }
             (config.revision >= answer.revision).then_some(())
         })
