relay: follows rollouts, chooses the version and reports evidence

Relays sent requests to all targets of a service whatever their software version, so that a rollout could neither be limited to a share of the requests nor be reversed.

With the new setting `rollouts` (from `contracts` of the platform) each target has an admission that follows from its version, the version in force and the stage. It is shared by all views, and checked again right before a request is written to a connection, so that queued and retried requests follow the latest stage and a process that stood still has lost its lease. A first attempt goes to the version on trial with the probability in the configuration, drawn once for each sub-request; retries and hedges go to the old version. The share refers to requests that have reached a target, with two requests per host in advance: if the old targets are unreachable, the new version does not take over.

Without a confirmation within 2 s a trial goes on at the old version only. In stage `finishing` requests are refused as not run, because the old targets may be gone and the new version may have been rolled back. While a rollout runs, polls wait for 500 ms instead of 1 s: the age of a quiet configuration reached the lease.

Evidence is cumulative and sent each 250 ms, also without requests. Requests in flight at the old version include those that started before the rollout.

--- a/src/control/poller.rs
+++ b/src/control/poller.rs
@@ -59,6 +59,11 @@
         Self { candidates, clients: HashMap::new(), node, incarnation, wait }
     }
 
+    /// Changes for how long a poll waits at most for a newer revision, from the next poll on.
+    pub fn set_wait(&mut self, wait: Duration) {
+        self.wait = wait;
+    }
+
     /// Replaces the list of control hosts, the preferred ones first. Connections to hosts that stay in the list are
     /// kept. Hosts that leave the list are asked after all others for some time, those of the settings always: the list
     /// comes from one control host and may be outdated. An empty list is ignored.
--- a/src/relay/builder.rs
+++ b/src/relay/builder.rs
@@ -11,8 +11,10 @@
 use crate::{
     policy::{budget::Budget, ownership},
     relay::{
+        admission::Admission,
         cold_start::Access,
         retired::Retired,
+        rollout::Rollouts,
         settings::Settings,
         split::SplitPicker,
         target::Target,
@@ -44,6 +46,7 @@
     cfg: Arc<Settings>,
     targets: HashMap<(String, u64), Arc<Target>>,
     retired: Arc<Retired>,
+    rollouts: Arc<Rollouts>,
     retry_budgets: HashMap<String, Arc<Mutex<Budget>>>,
     queues: HashMap<String, WaitQueue>,
     latencies: HashMap<String, Arc<Mutex<LatencyEstimate>>>,
@@ -56,11 +59,12 @@
 }
 
 impl Builder {
-    pub(super) fn new(cfg: Arc<Settings>, retired: Arc<Retired>) -> Self {
+    pub(super) fn new(cfg: Arc<Settings>, retired: Arc<Retired>, rollouts: Arc<Rollouts>) -> Self {
         Self {
             cfg,
             targets: HashMap::new(),
             retired,
+            rollouts,
             retry_budgets: HashMap::new(),
             queues: HashMap::new(),
             latencies: HashMap::new(),
@@ -75,6 +79,9 @@
     /// new sub-requests from now on, also from requests that still use an older view.
     pub(super) fn build(&mut self, config: &Config) -> View {
         let by_service = self.update_targets(config);
+        if self.cfg.rollouts {
+            self.update_rollouts(config);
+        }
         let table = &config.routes;
         let nodes: Vec<_> = config.nodes.values().cloned().collect();
         let mut services = Vec::new();
@@ -96,6 +103,7 @@
                 hosts_per_region,
                 retry_budget: self.retry_budget(name, hosts, planned_hosts),
                 queue: self.queues.entry(name.clone()).or_default().clone(),
+                rollout: self.rollouts.get(name),
             });
         }
         // After control hosts have lost state, a version may come with another content.
@@ -115,12 +123,14 @@
     }
 
     /// The zone to delegate to: a zone of the own region that has targets of the service, if the own zone has none.
+    /// Targets of a version on trial do not count, because most requests go to the old version.
     fn delegate_zone(&self, targets: &[Arc<Target>]) -> Option<String> {
         let own_zone = &self.cfg.zone;
-        if targets.iter().any(|it| it.zone == *own_zone) {
+        let regular = targets.iter().filter(|it| it.admission() != Admission::New);
+        if regular.clone().any(|it| it.zone == *own_zone) {
             return None;
         }
-        let in_region = targets.iter().filter(|it| it.region == self.cfg.own_region());
+        let in_region = regular.filter(|it| it.region == self.cfg.own_region());
         in_region.map(|it| &it.zone).min().cloned()
     }
 
@@ -162,7 +172,11 @@
             self.retired.apply(&shared);
             known.insert(key);
             let drained = config.is_drained(ObjectKind::Zone, &target.zone);
-            let usable = target.phase == Phase::Serving && !drained;
+            let admission = self.admission(config, target);
+            shared.set_admission(admission);
+            shared.set_cold(is_cold(target));
+            let is_closed = admission == Admission::Closed;
+            let usable = target.phase == Phase::Serving && !drained && !is_closed;
             shared.set_usable(usable);
             let access = self.access(config, target, &nodes);
             shared.cold_start.lock().set_access(access, !self.has_view, now);
@@ -183,14 +197,34 @@
         by_service
     }
 
+    /// Which sub-requests the rollouts allow to a target.
+    fn admission(&self, config: &Config, target: &state::Target) -> Admission {
+        let service = target.labels.get(SERVICE_LABEL).filter(|_| self.cfg.rollouts);
+        let Some(service) = service else { return Admission::Open };
+        let in_force = config.service_versions.get(service).map(String::as_str);
+        Admission::new(target.software(), in_force, config.rollouts.get(service))
+    }
+
+    /// Follows the running rollouts. The admission of targets has changed before that.
+    fn update_rollouts(&self, config: &Config) {
+        self.rollouts.update(config);
+        for track in self.rollouts.running() {
+            let is_old = |it: &&state::Target| {
+                it.service() == Some(&track.service) && it.software() != Some(&track.target_version)
+            };
+            let old = config.targets.values().filter(is_old);
+            let old = old.filter_map(|it| self.targets.get(&(it.name.clone(), it.incarnation)));
+            track.set_old_targets(old.cloned().collect());
+        }
+    }
+
     /// Which requests may be sent to a target. During a cold start only the target's owner sends, at the service's
     /// limit. If no limit is known, the target is treated like a warm one.
     fn access(&self, config: &Config, target: &state::Target, nodes: &[NodeView]) -> Access {
-        let is_cold = target.labels.get(COLD_LABEL).is_some_and(|it| it == "true");
         let service = target.labels.get(SERVICE_LABEL);
         let service = service.and_then(|it| config.routes.services.get(it));
         let limit = service.map_or(0, |it| it.cold_millis_per_s);
-        if !is_cold || limit == 0 {
+        if !is_cold(target) || limit == 0 {
             return Access::Open;
         }
         let owner = ownership::owner(&target.name, &target.zone, nodes);
@@ -226,6 +260,10 @@
     }
 }
 
+fn is_cold(target: &state::Target) -> bool {
+    target.labels.get(COLD_LABEL).is_some_and(|it| it == "true")
+}
+
 fn node_view(node: &Node) -> NodeView {
     NodeView {
         name: node.name.clone(),
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     relay::{
+        admission::Choice,
         exchange::{self, DetachFlag, NotRunReason, Outcome, TargetResponse, UnknownReason},
         host::Host,
         request::Query,
@@ -74,8 +75,8 @@
     refusals: usize,
     /// Targets that could not be reached since the last backoff.
     unreachable: Vec<Arc<Target>>,
-    /// Whether the next attempt replaces one to an unreachable target and so costs no retry token.
-    replaces_unreachable: bool,
+    /// Whether the next attempt replaces one that reached no target, and so costs no retry token.
+    needs_no_token: bool,
     /// What is returned if no attempt succeeds.
     failure: Failure,
 }
@@ -90,22 +91,23 @@
 ) -> Result<TargetResponse, Failure> {
     let service = query.view.service(key);
     service.retry_budget.lock().earn(1);
-    if service.is_down(Instant::now()) && query.give_up_shard() {
+    let is_canary = service.rollout.as_ref().is_some_and(|it| it.draw(&host.freshness));
+    if !is_canary && service.is_down(Instant::now()) && query.give_up_shard() {
         return Err(Failure::unreachable());
     }
-    let first = wait_for_target(query, service).await?;
-    let hedge_at = Instant::now() + hedge_delay(query, service, &first);
+    let first = wait_for_target(host, query, service, is_canary).await?;
+    let hedge_at = Instant::now() + hedge_delay(host, query, service, &first);
     let hedge = sleep_until(hedge_at.into());
     tokio::pin!(hedge);
     let detach = Arc::<DetachFlag>::default();
     let mut running = FuturesUnordered::new();
-    running.push(exchange::start(host, query, &detach, &service.queue, &first).join());
+    running.push(exchange::start(host, query, &detach, service, &first).join());
     let mut state = CallState {
         tried: vec![first],
         attempts: 1,
         refusals: 0,
         unreachable: Vec::new(),
-        replaces_unreachable: false,
+        needs_no_token: false,
         failure: Failure { may_have_run: false, response: None, cause: "no_target" },
     };
     // Only idempotent requests are hedged.
@@ -130,7 +132,7 @@
                 "late"
             }
         };
-        match state.next_target(query, service, max_attempts, cause == "late") {
+        match state.next_target(host, query, service, max_attempts, cause == "late") {
             Some(target) => {
                 log::info!(
                     "event=repeated request={} service={} target={} cause={cause} attempt={} revision={}",
@@ -143,17 +145,18 @@
                 host.metrics.retries.with_label_values(&[cause]).inc();
                 state.tried.push(target.clone());
                 state.attempts += 1;
-                running.push(exchange::start(host, query, &detach, &service.queue, &target).join());
+                running.push(exchange::start(host, query, &detach, service, &target).join());
             }
             None if !running.is_empty() => {}
             None if state.reached_no_target() && query.give_up_shard() => return Err(state.failure),
             None => {
-                let Some(target) = state.wait_for_retry(query, service, max_attempts).await else {
+                let Some(target) = state.wait_for_retry(host, query, service, max_attempts).await
+                else {
                     return Err(state.failure);
                 };
                 state.tried.push(target.clone());
                 state.attempts += 1;
-                running.push(exchange::start(host, query, &detach, &service.queue, &target).join());
+                running.push(exchange::start(host, query, &detach, service, &target).join());
             }
         }
     }
@@ -176,11 +179,12 @@
             Outcome::Answered(response) => return Ok(response),
             Outcome::NotRun(reason) => {
                 self.attempts -= 1;
-                self.replaces_unreachable = reason == NotRunReason::Unreachable;
-                if self.replaces_unreachable {
-                    self.unreachable.push(target.clone());
-                } else {
-                    self.refusals += 1;
+                self.needs_no_token =
+                    matches!(reason, NotRunReason::Unreachable | NotRunReason::Withdrawn);
+                match reason {
+                    NotRunReason::Unreachable => self.unreachable.push(target.clone()),
+                    NotRunReason::Shed | NotRunReason::WrongProcess => self.refusals += 1,
+                    NotRunReason::Withdrawn => {}
                 }
                 reason.into()
             }
@@ -205,6 +209,7 @@
     /// leaves a reserve in the budget, because a failed sub-request needs its token more than a late one.
     fn next_target(
         &mut self,
+        host: &Host,
         query: &Query,
         service: &Service,
         max_attempts: usize,
@@ -218,10 +223,9 @@
         {
             return None;
         }
-        let (target, _) = pick(query, service, |it| !self.should_avoid(it))
-            .or_else(|| pick(query, service, |it| !self.has_tried(it)))?;
-        let needs_no_token = std::mem::take(&mut self.replaces_unreachable);
-        if needs_no_token {
+        let (target, _) = pick(host, query, service, Choice::Regular, |it| !self.should_avoid(it))
+            .or_else(|| pick(host, query, service, Choice::Regular, |it| !self.has_tried(it)))?;
+        if std::mem::take(&mut self.needs_no_token) {
             return Some(target);
         }
         let mut budget = service.retry_budget.lock();
@@ -234,6 +238,7 @@
     /// tries all targets again. Gives up at once if a target may have run the request.
     async fn wait_for_retry(
         &mut self,
+        host: &Host,
         query: &Query,
         service: &Service,
         max_attempts: usize,
@@ -241,15 +246,18 @@
         let now = Instant::now();
         let end = now + query.hard_deadline.saturating_duration_since(now) / MAX_WAIT_DIVISOR;
         let mut backoff = INITIAL_BACKOFF;
-        while !self.failure.may_have_run && Instant::now() + backoff < end {
+        while !self.failure.may_have_run
+            && Instant::now() + backoff < end
+            && !service.is_suspended(&host.freshness)
+        {
             sleep(backoff).await;
             backoff *= 2;
             // If no attempt reached a target, the next one is the first that may.
-            self.replaces_unreachable = self.reached_no_target();
+            self.needs_no_token = self.reached_no_target();
             self.tried.clear();
             self.unreachable.clear();
             self.refusals = 0;
-            if let Some(target) = self.next_target(query, service, max_attempts, false) {
+            if let Some(target) = self.next_target(host, query, service, max_attempts, false) {
                 return Some(target);
             }
         }
@@ -276,10 +284,19 @@
 }
 
 /// Selects the first target. Waits if all targets are busy.
-async fn wait_for_target(query: &Query, service: &Service) -> Result<Arc<Target>, Failure> {
+async fn wait_for_target(
+    host: &Host,
+    query: &Query,
+    service: &Service,
+    is_canary: bool,
+) -> Result<Arc<Target>, Failure> {
     let started = Instant::now();
-    let pick = || pick(query, service, |_| true).map(|(target, _)| target);
-    wait::for_target(query, service, pick).await.map_err(|cause| {
+    let pick = || {
+        let pick = |choice| pick(host, query, service, choice, |_| true);
+        let canary = if is_canary { pick(Choice::Canary) } else { None };
+        canary.or_else(|| pick(Choice::Regular)).map(|(target, _)| target)
+    };
+    wait::for_target(host, query, service, is_canary, pick).await.map_err(|cause| {
         log::info!(
             "event=no_free_target request={} service={} cause={cause} waited_ms={} targets={} waiting={} revision={}",
             query.id(),
@@ -294,19 +311,24 @@
 }
 
 /// Selects the eligible target with the lowest cost and returns it with that cost. A target qualifies if it is usable,
-/// in a home region of the route, below the limit of requests in flight, and below its cold-start limit. Targets in the
+/// open to this choice, in a home region of the route, below the limit of requests in flight, and below its cold-start limit. Targets in the
 /// own region are preferred if they should respond in time.
 fn pick(
+    host: &Host,
     query: &Query,
     service: &Service,
+    choice: Choice,
     eligible: impl Fn(&Arc<Target>) -> bool,
 ) -> Option<(Arc<Target>, Duration)> {
     let now = Instant::now();
     let homes = &query.route().config.homes;
     let median = query.route().latency.lock().median();
     let mut rng = rand::rng();
+    // Only the version under rollout needs the lease.
+    let has_lease = service.rollout.is_some() && host.freshness.has_lease();
     let usable = service.targets.iter().filter(|it| {
         it.is_usable()
+            && it.admission().allows(choice, has_lease)
             && it.paused_until(now).is_none()
             && (homes.is_empty() || homes.contains(&it.region))
             && eligible(it)
@@ -331,11 +353,10 @@
 
 /// Delay before the hedge is sent: until the first target is late, but early enough that another target can still
 /// respond before the soft deadline.
-fn hedge_delay(query: &Query, service: &Service, first: &Arc<Target>) -> Duration {
+fn hedge_delay(host: &Host, query: &Query, service: &Service, first: &Arc<Target>) -> Duration {
     let late_after = first.pool.round_trip() + query.route().latency.lock().late_threshold();
-    let Some((_, other_cost)) = pick(query, service, |it| !Arc::ptr_eq(it, first)) else {
-        return late_after;
-    };
+    let other = pick(host, query, service, Choice::Regular, |it| !Arc::ptr_eq(it, first));
+    let Some((_, other_cost)) = other else { return late_after };
     let left = query.soft_deadline.saturating_duration_since(Instant::now());
     match left.checked_sub(other_cost) {
         Some(latest) => late_after.min(latest),
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,4 +1,4 @@
-//! One HTTP exchange with one target, from taking a connection to the complete response.
+//! One HTTP exchange with one target: its task, its outcome and what is recorded of it.
 
 use std::{
     sync::{
@@ -9,52 +9,30 @@
 };
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{
-    HeaderMap, Request, Response, StatusCode,
-    body::Incoming,
-    header::{CONNECTION, HeaderName, HeaderValue, RETRY_AFTER},
-    http::response,
-};
+use hyper::{HeaderMap, StatusCode};
 use parking_lot::Mutex;
 use strum::{Display, IntoStaticStr};
-use tokio::{
-    sync::oneshot,
-    task::AbortHandle,
-    time::{sleep_until, timeout_at},
-};
+use tokio::{sync::oneshot, task::AbortHandle, time::timeout_at};
 
 use crate::{
     relay::{
-        buffer::ResponseBuffer,
         choice::Observation,
+        evidence,
         host::Host,
-        pool::Connection,
         request::Query,
-        settings::Headers,
+        rollout::Subject,
         target::Target,
+        transmit,
         typical::LatencyEstimate,
+        view::Service,
         wait::{self, WaitQueue},
     },
-    route,
-    state::Change,
     wire::control::ProcessId,
 };
 
-/// Longest pause that a target is granted, so that a faulty value does not take it out of service for good.
-const MAX_PAUSE: Duration = Duration::from_secs(3_600);
-
 /// An exchange with a target that may get no new sub-requests is logged if it ends later than this.
 const LATE_EXCHANGE: Duration = Duration::from_secs(1);
 
-/// A connection is silent if no response header arrived for this many times the route's late threshold, and for at
-/// least the minimum. The target is then avoided and its connections are not reused, but the exchange keeps waiting.
-const SILENCE_FACTOR: u32 = 4;
-const MIN_SILENCE: Duration = Duration::from_millis(400);
-
-/// Header that tells how long the sender keeps an idle connection open.
-pub(super) const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-
 /// A complete response of a target.
 #[derive(Clone, Debug)]
 pub(super) struct TargetResponse {
@@ -86,6 +64,8 @@
     WrongProcess,
     /// No connection could be established, or it was closed before any byte was sent.
     Unreachable,
+    /// A rollout does not allow requests to the target any more. No byte was sent.
+    Withdrawn,
 }
 
 /// Why it is unknown whether a request ran.
@@ -143,14 +123,37 @@
     }
 }
 
-/// Counts an exchange as in flight at its target until it is dropped, which wakes a sub-request that waits for room.
-struct InFlightGuard {
-    target: Arc<Target>,
+/// An exchange with a target. It counts as in flight there until it is dropped, which wakes a sub-request that waits for
+/// room.
+pub(super) struct Attempt {
+    pub(super) target: Arc<Target>,
     queue: WaitQueue,
     started_at: Instant,
+    sent_at: Mutex<Option<Instant>>,
+    subject: Option<Subject>,
 }
 
-impl Drop for InFlightGuard {
+impl Attempt {
+    /// The side of the running rollout that the exchange gives evidence of.
+    pub(super) fn subject(&self) -> Option<&Subject> {
+        self.subject.as_ref()
+    }
+
+    /// When the request was handed to a connection, if it was.
+    pub(super) fn sent_at(&self) -> Option<Instant> {
+        *self.sent_at.lock()
+    }
+
+    /// Records that the request is handed to a connection now.
+    pub(super) fn record_sent(&self) {
+        *self.sent_at.lock() = Some(Instant::now());
+        if let Some(subject) = &self.subject {
+            subject.record_sent();
+        }
+    }
+}
+
+impl Drop for Attempt {
     fn drop(&mut self) {
         self.target.stats.lock().end_request(self.started_at);
         wait::wake_next(&self.queue);
@@ -162,19 +165,27 @@
     host: &Arc<Host>,
     query: &Arc<Query>,
     call_detach: &Arc<DetachFlag>,
-    queue: &WaitQueue,
+    service: &Service,
     target: &Arc<Target>,
 ) -> ExchangeHandle {
     let (tx, outcome) = oneshot::channel();
     let started_at = Instant::now();
+    // The exchange is in flight before its target's admission is checked: a relay that reports nothing in flight at a
+    // version after it has closed it thus sends nothing there later.
     target.stats.lock().start_request(started_at);
     target.cold_start.lock().record(started_at);
-    let in_flight = InFlightGuard { target: target.clone(), queue: queue.clone(), started_at };
+    let attempt = Attempt {
+        target: target.clone(),
+        queue: service.queue.clone(),
+        started_at,
+        sent_at: Mutex::default(),
+        subject: service.rollout.as_ref().and_then(|it| Subject::new(it, target)),
+    };
     let request_detach = query.detach.clone();
     let (host, query) = (host.clone(), query.clone());
     let task = tokio::spawn(async move {
-        let outcome = run_and_record(&host, &query, &in_flight).await;
-        drop(in_flight);
+        let outcome = run_and_record(&host, &query, &attempt).await;
+        drop(attempt);
         let _ = tx.send(outcome);
     });
     let task = task.abort_handle();
@@ -187,35 +198,40 @@
     }
 }
 
-async fn run_and_record(host: &Host, query: &Query, in_flight: &InFlightGuard) -> Outcome {
-    let target = &in_flight.target;
+async fn run_and_record(host: &Host, query: &Query, attempt: &Attempt) -> Outcome {
+    let target = &attempt.target;
     let latency = &query.route().latency;
-    let outcome = match timeout_at(query.hard_deadline.into(), send(host, query, target)).await {
+    let sending = transmit::send(host, query, attempt);
+    let outcome = match timeout_at(query.hard_deadline.into(), sending).await {
         Ok(outcome) => outcome,
         Err(_) => Outcome::Unknown(UnknownReason::Timeout),
     };
     let now = Instant::now();
-    log_if_late(query, in_flight, &outcome, now);
+    log_if_late(query, attempt, &outcome, now);
+    evidence::record(query, attempt, &outcome, now);
     let observation = match &outcome {
-        Outcome::Answered(it) if it.status.is_server_error() => Observation::Failed,
+        Outcome::Answered(it) if it.status.is_server_error() => Some(Observation::Failed),
         Outcome::Answered(_) => {
-            let took = (now - in_flight.started_at).saturating_sub(target.pool.round_trip());
-            Observation::Answered(record_latency(latency, took))
+            let took = (now - attempt.started_at).saturating_sub(target.pool.round_trip());
+            Some(Observation::Answered(record_latency(latency, took)))
         }
-        Outcome::NotRun(NotRunReason::Shed) => Observation::Failed,
-        Outcome::NotRun(_) | Outcome::Unknown(_) => Observation::NoResponse,
+        Outcome::NotRun(NotRunReason::Shed) => Some(Observation::Failed),
+        Outcome::NotRun(NotRunReason::Withdrawn) => None,
+        Outcome::NotRun(_) | Outcome::Unknown(_) => Some(Observation::NoResponse),
     };
     if matches!(outcome, Outcome::NotRun(NotRunReason::WrongProcess)) {
         target.set_usable(false);
     }
-    target.stats.lock().record(observation, now);
-    host.metrics.record_exchange(&outcome, now - in_flight.started_at);
+    if let Some(observation) = observation {
+        target.stats.lock().record(observation, now);
+    }
+    host.metrics.record_exchange(&outcome, now - attempt.started_at);
     outcome
 }
 
 /// Logs an exchange that ends long after its target was taken out of service, and whether it was sent before that.
-fn log_if_late(query: &Query, in_flight: &InFlightGuard, outcome: &Outcome, now: Instant) {
-    let InFlightGuard { target, started_at, .. } = in_flight;
+fn log_if_late(query: &Query, attempt: &Attempt, outcome: &Outcome, now: Instant) {
+    let Attempt { target, started_at, .. } = attempt;
     let Some(since) = target.unusable_since().filter(|it| now - *it > LATE_EXCHANGE) else {
         return;
     };
@@ -243,184 +259,3 @@
     latency.record(took);
     took.as_secs_f64() / median.as_secs_f64()
 }
-
-async fn send(host: &Host, query: &Query, target: &Target) -> Outcome {
-    if let Some(conn) = target.pool.take_idle().await
-        && let Some(outcome) = send_on_connection(host, query, target, conn).await
-    {
-        return outcome;
-    }
-    let conn = match target.pool.connect().await {
-        Ok(conn) => conn,
-        Err(err) => {
-            log::debug!("event=connect_failed target={} cause={err:?}", target.name);
-            return Outcome::NotRun(NotRunReason::Unreachable);
-        }
-    };
-    host.metrics.connections.with_label_values::<&str>(&[]).inc();
-    let outcome = send_on_connection(host, query, target, conn).await;
-    outcome.unwrap_or(Outcome::NotRun(NotRunReason::Unreachable))
-}
-
-/// Sends the request on a connection and reads the response. `None` if no byte of the request was sent.
-async fn send_on_connection(
-    host: &Host,
-    query: &Query,
-    target: &Target,
-    mut conn: Connection,
-) -> Option<Outcome> {
-    let request = query.target_request(&host.cfg.headers, target);
-    let silence = (query.route().latency.lock().late_threshold() * SILENCE_FACTOR).max(MIN_SILENCE);
-    let silent_at = Instant::now() + target.pool.round_trip() + silence;
-    let mut response = std::pin::pin!(conn.sender.try_send_request(request));
-    let head = tokio::select! {
-        head = &mut response => head,
-        () = sleep_until(silent_at.into()) => {
-            log::info!(
-                "event=connection_silent request={} target={} limit_ms={}",
-                query.id(), target.name, silence.as_millis()
-            );
-            target.stats.lock().record(Observation::NoResponse, Instant::now());
-            target.pool.invalidate();
-            response.await
-        }
-    };
-    let head = match head {
-        Ok(head) => head,
-        Err(mut err) => {
-            let unsent = err.take_message().is_some();
-            return (!unsent).then(|| Outcome::Unknown(unknown_reason(err.error())));
-        }
-    };
-    Some(read_response(host, query, target, conn, head).await)
-}
-
-async fn read_response(
-    host: &Host,
-    query: &Query,
-    target: &Target,
-    conn: Connection,
-    head: Response<Incoming>,
-) -> Outcome {
-    let names = &host.cfg.headers;
-    let (head, body) = head.into_parts();
-    let is_own = head.headers.get(&names.request_id) == query.request_id.as_ref();
-    let has_id = head.headers.contains_key(&names.request_id);
-    let is_foreign = !is_own && (has_id || conn.is_reused);
-    if !is_foreign {
-        // These hold even if the body does not arrive.
-        record_wishes(host, target, &head);
-    }
-    let mut buffer = ResponseBuffer::new(&host.buffers, query.max_records());
-    let body = match buffer.collect(body).await {
-        Ok(body) => body,
-        Err(err) => {
-            log::info!(
-                "event=response_incomplete request={} target={} cause={err:?}",
-                query.id(),
-                target.name
-            );
-            return Outcome::Unknown(UnknownReason::Disconnected);
-        }
-    };
-    let keep_alive = keep_alive_timeout(&head.headers);
-    if is_foreign {
-        log::info!(
-            "event=response_discarded request={} target={} status={} cause=\"{} on a {} connection\"",
-            query.id(),
-            target.name,
-            head.status.as_u16(),
-            if has_id { "id of another request" } else { "no request id" },
-            if conn.is_reused { "reused" } else { "new" },
-        );
-        return Outcome::Unknown(UnknownReason::BadAnswer);
-    }
-    let outcome = classify(names, target, head, body);
-    if has_id && query.body.is_empty() && is_reusable(query, &outcome) {
-        target.pool.put_idle(conn, keep_alive);
-    }
-    outcome
-}
-
-/// Heeds what a target says of itself in a response: that it is leaving, or that it wants no requests for some time.
-fn record_wishes(host: &Host, target: &Target, head: &response::Parts) {
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
-        // The response is from another process.
-        return;
-    }
-    if says_leaving(&host.cfg.headers, &head.headers) {
-        retire(host, target);
-    }
-    if head.status == StatusCode::SERVICE_UNAVAILABLE
-        && let Some(pause) = retry_after(&head.headers)
-    {
-        log::info!("event=target_paused target={} pause_ms={}", target.name, pause.as_millis());
-        target.pause(Instant::now() + pause);
-    }
-}
-
-fn says_leaving(names: &Headers, headers: &HeaderMap) -> bool {
-    headers.get(&names.leaving).is_some_and(|it| it == "1")
-}
-
-/// Sends a target nothing more after it has said that it is leaving, and reports it.
-pub(super) fn retire(host: &Host, target: &Target) {
-    if !host.retired.insert(target) {
-        return;
-    }
-    let Target { name, incarnation, .. } = target;
-    log::info!("event=target_leaving target={name} incarnation={incarnation}");
-    host.reports.push(Change::RetireTarget { name: name.clone(), incarnation: *incarnation });
-    host.submit_now.notify_one();
-}
-
-/// The time in `Retry-After`, if it is given in seconds.
-fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
-    Some(Duration::try_from_secs_f64(seconds).ok()?.min(MAX_PAUSE))
-}
-
-/// Whether the connection of an exchange with this outcome may carry another request. The next request of an
-/// at-most-once call has the id of the refused one, so a late copy of the refusal would claim that it did not run.
-fn is_reusable(query: &Query, outcome: &Outcome) -> bool {
-    match outcome {
-        Outcome::Answered(it) => !it.headers.get(CONNECTION).is_some_and(has_close_token),
-        Outcome::NotRun(_) => query.route().config.kind == route::Kind::Idempotent,
-        Outcome::Unknown(_) => false,
-    }
-}
-
-/// What a complete response to this request means.
-fn classify(names: &Headers, target: &Target, head: response::Parts, body: Bytes) -> Outcome {
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
-        return Outcome::NotRun(NotRunReason::WrongProcess);
-    }
-    if head.headers.contains_key(&names.not_run) {
-        return Outcome::NotRun(NotRunReason::Shed);
-    }
-    if head.status.is_informational()
-        || head.status.is_success() && !head.headers.contains_key(&names.signature)
-    {
-        return Outcome::Unknown(UnknownReason::BadAnswer);
-    }
-    let leaving = says_leaving(names, &head.headers).then(|| target.process());
-    Outcome::Answered(TargetResponse { status: head.status, headers: head.headers, body, leaving })
-}
-
-fn unknown_reason(err: &hyper::Error) -> UnknownReason {
-    if err.is_parse() { UnknownReason::BadAnswer } else { UnknownReason::Disconnected }
-}
-
-fn has_close_token(value: &HeaderValue) -> bool {
-    value.to_str().is_ok_and(|it| it.split(',').any(|it| it.trim().eq_ignore_ascii_case("close")))
-}
-
-/// How long the target keeps an idle connection, if the response says so.
-fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
-    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
-    let seconds = value.split(',').find_map(|it| it.trim().strip_prefix("timeout="))?;
-    seconds.parse().ok().map(Duration::from_secs)
-}
-
-/// A request as it is sent to a target.
-pub(super) type TargetRequest = Request<Full<Bytes>>;
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -29,6 +29,10 @@
 /// `node_expiry_ms`, after which control hosts remove a host that does not poll.
 const MAX_POLL_WAIT: Duration = Duration::from_millis(1_000);
 
+/// The same while a rollout is running. The age of the configuration cycles up to two polls, and must stay below the
+/// lease even when a control host falls silent and another one is asked.
+const ROLLOUT_POLL_WAIT: Duration = Duration::from_millis(500);
+
 /// Delay after a failed poll or submission.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -103,7 +107,7 @@
     /// Follows the configuration and submits changes until the task is aborted.
     pub(super) async fn run(&self) {
         freshness::spawn_log(&self.host);
-        tokio::join!(self.follow(), self.submit(), self.audit());
+        tokio::join!(self.follow(), self.submit(), self.audit(), self.report_evidence());
     }
 
     /// The control host that answered the last poll; none if no control host could be reached.
@@ -145,6 +149,8 @@
                 Resync::Whole => WHOLE_CONFIG_REVISION,
                 Resync::None | Resync::Steps => config.revision,
             };
+            let is_rollout = self.host.rollouts.is_any_running();
+            poller.set_wait(if is_rollout { ROLLOUT_POLL_WAIT } else { MAX_POLL_WAIT });
             let answer = poller.next_update(revision, &poll_now).await;
             self.host.metrics.record_poll(answer.is_ok());
             let control_host = answer.is_ok().then(|| poller.current_addr());
--- a/src/relay/freshness.rs
+++ b/src/relay/freshness.rs
@@ -15,6 +15,10 @@
 /// two polls and their ways, because a poll is held for a second and the age counts from its sending.
 pub const LATE_CONFIG_AGE: Duration = Duration::from_millis(2_500);
 
+/// For how long a confirmation of the configuration allows requests to a version under rollout. Control hosts wait for
+/// this time before they rely on a host that does not answer.
+const LEASE: Duration = Duration::from_secs(2);
+
 /// Minimum time between two log lines about a configuration that is not confirmed.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -133,6 +137,11 @@
         self.confirmed_at().unwrap_or(self.started_at).elapsed()
     }
 
+    /// Whether control hosts have confirmed the configuration within the last [`LEASE`].
+    pub(super) fn has_lease(&self) -> bool {
+        self.confirmed_at().is_some_and(|it| it.elapsed() < LEASE)
+    }
+
     /// The control host that answered last, for the log.
     pub(super) fn control_host(&self) -> String {
         self.state.lock().control_host.map_or_else(|| "-".into(), |it| it.to_string())
--- a/src/relay/gather.rs
+++ b/src/relay/gather.rs
@@ -11,12 +11,13 @@
 use crate::{
     relay::{
         call::{self, Failure},
-        exchange::{self, TargetResponse},
+        exchange::TargetResponse,
         group::{self, DelegateEvent},
         host::Host,
         records::merge_records,
         request::Query,
         response::{self, Refusal},
+        transmit,
     },
     route::Shards,
     wire::relay::{FailedShard, Progress},
@@ -120,7 +121,7 @@
     let targets = services.flat_map(|it| &it.targets);
     targets
         .filter(|it| progress.leaving.contains(&it.process()))
-        .for_each(|it| exchange::retire(host, it));
+        .for_each(|it| transmit::retire(host, it));
 }
 
 impl ShardResults {
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -21,7 +21,8 @@
     metric,
     relay::{
         buffer::Buffers, builder::Builder, freshness::Freshness, metrics::Metrics, peer::Peers,
-        report, retired::Retired, settings::Settings, suspect::Suspects, view::View,
+        report, retired::Retired, rollout::Rollouts, settings::Settings, suspect::Suspects,
+        view::View,
     },
     state::{Config, Node},
 };
@@ -68,6 +69,8 @@
     pub(super) suspects: Suspects,
     /// Processes of targets that have said that they are leaving.
     pub(super) retired: Arc<Retired>,
+    /// The rollouts that are running.
+    pub(super) rollouts: Arc<Rollouts>,
     /// Reports for the control hosts.
     pub(super) reports: report::Queue,
     registry: metric::Registry,
@@ -93,10 +96,12 @@
         let cfg = Arc::new(cfg);
         let registry = metric::Registry::default();
         let retired = Arc::<Retired>::default();
+        let metrics = Metrics::new(&registry);
+        let rollouts = Arc::new(Rollouts::new(metrics.rollout_requests.clone()));
         Self {
             incarnation: unix_ms(),
             events: Ring::new(cfg.name.clone()),
-            metrics: Metrics::new(&registry),
+            metrics,
             submit_now: Notify::new(),
             close_connections: Notify::new(),
             stop_accepting: Notify::new(),
@@ -106,8 +111,9 @@
             suspects: Suspects::default(),
             reports: report::Queue::default(),
             registry,
-            builder: Mutex::new(Builder::new(cfg.clone(), retired.clone())),
+            builder: Mutex::new(Builder::new(cfg.clone(), retired.clone(), rollouts.clone())),
             retired,
+            rollouts,
             view: RwLock::default(),
             has_routes: watch::Sender::new(false),
             freshness: Freshness::new(),
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -22,6 +22,8 @@
     /// Failed delegations by outcome.
     pub(super) delegations: IntCounterVec,
     pub(super) connections: IntCounterVec,
+    /// Requests sent to the services in a rollout, by side.
+    pub(super) rollout_requests: IntCounterVec,
     polls: IntCounterVec,
     config_age: HistogramVec,
     current_config_age: IntGaugeVec,
@@ -68,6 +70,11 @@
                 "New connections to targets",
                 &[],
             ),
+            rollout_requests: counter(
+                "gentianpass_relay_rollout_requests_total",
+                "Requests sent to a service in a rollout, to the old and the new version",
+                &["service", "side"],
+            ),
             polls: counter(
                 "gentianpass_relay_polls_total",
                 "Rounds of polls of the control hosts by result",
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -2,13 +2,15 @@
 //! one target of each shard, whose results are merged.
 //!
 //! Modules by lifetime of what they hold: `server`, `request`, `gather`, `group`, `delegate`, `call` and `wait` work on a
-//! request, `buffer` on a response, `exchange`, `pool` and `peer` on a connection, `view` on a revision of the
-//! configuration, the others on the process.
+//! request, `buffer` on a response, `exchange`, `transmit`, `pool` and `peer` on a connection, `view` on a revision of
+//! the configuration, `admission`, `rollout`, `exposure` and `evidence` on a rollout, the others on the process.
 //!
-//! Locks of `parking_lot` are never held across an await. They nest in three places only: the builder's lock around
-//! those of targets and budgets, the lock of a target's statistics around that of its cold-start limiter, and the lock
-//! of known crashes around that of unreported ones.
+//! Locks of `parking_lot` are never held across an await. They nest in four places only: the builder's lock around
+//! those of targets, budgets and rollouts, the lock of a target's statistics around that of its cold-start limiter, the
+//! lock of a rollout's old targets around those of their statistics, and the lock of known crashes around that of
+//! unreported ones.
 
+mod admission;
 mod audit;
 mod buffer;
 mod builder;
@@ -17,7 +19,9 @@
 mod cold_start;
 mod delegate;
 mod directory;
+mod evidence;
 mod exchange;
+mod exposure;
 mod follow;
 mod freshness;
 mod gather;
@@ -32,6 +36,7 @@
 mod request;
 mod response;
 mod retired;
+mod rollout;
 mod run;
 mod server;
 mod settings;
@@ -39,15 +44,18 @@
 mod stop;
 mod suspect;
 mod target;
+mod transmit;
 mod typical;
 mod view;
 mod wait;
 
+pub use admission::{Admission, Choice};
 pub use audit::{Ahead, Own, Verdict, compare};
 pub use buffer::{BufferError, Buffers, MAX_BUFFERED_BYTES, ResponseBuffer};
 pub use choice::{Observation, TargetStats};
 pub use cold_start::{Access, ColdStartLimiter};
 pub use directory::AddressQuery;
+pub use exposure::Exposure;
 pub use freshness::{LATE_CONFIG_AGE, is_log_due, is_poll_awaited};
 pub use host::Host;
 pub use idle::IdleConnections;
--- a/src/relay/response.rs
+++ b/src/relay/response.rs
@@ -13,10 +13,7 @@
 };
 
 use crate::relay::{
-    exchange::{KEEP_ALIVE, TargetResponse},
-    host::Host,
-    request::Query,
-    view::View,
+    exchange::TargetResponse, host::Host, request::Query, transmit::KEEP_ALIVE, view::View,
 };
 
 /// Hop-by-hop headers, which must not be forwarded, and `Content-Length`, which is set anew for each message.
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -68,6 +68,9 @@
     pub max_config_age: Duration,
     /// The time from the signal to stop until the process is killed.
     pub grace_period: Duration,
+    /// Whether the deployment has rollouts. Targets whose software version is neither in force nor under rollout then
+    /// get no requests.
+    pub rollouts: bool,
     /// The number of descriptors that the process may have open, if the operating system has no lower limit.
     pub max_descriptors: u64,
 }
--- a/src/relay/target.rs
+++ b/src/relay/target.rs
@@ -1,14 +1,17 @@
 //! The process of a target as this host sees it.
 
 use std::{
-    sync::atomic::{AtomicBool, Ordering},
+    sync::atomic::{AtomicBool, AtomicU8, Ordering},
     time::{Duration, Instant},
 };
 
 use parking_lot::Mutex;
 
 use crate::{
-    relay::{choice::TargetStats, cold_start::ColdStartLimiter, pool::Pool},
+    relay::{
+        admission::Admission, choice::TargetStats, cold_start::ColdStartLimiter,
+        freshness::Freshness, pool::Pool,
+    },
     state,
     wire::control::ProcessId,
 };
@@ -30,6 +33,9 @@
     pub(super) stats: Mutex<TargetStats>,
     pub(super) cold_start: Mutex<ColdStartLimiter>,
     usable: AtomicBool,
+    /// An [`Admission`].
+    admission: AtomicU8,
+    cold: AtomicBool,
     /// Since when it may get no new sub-requests.
     unusable_since: Mutex<Instant>,
     /// Whether the target has said that it is leaving.
@@ -53,6 +59,8 @@
             stats: Mutex::new(TargetStats::new(Instant::now())),
             cold_start: Mutex::default(),
             usable: AtomicBool::new(false),
+            admission: AtomicU8::new(Admission::Open as u8),
+            cold: AtomicBool::new(false),
             unusable_since: Mutex::new(Instant::now()),
             retired: AtomicBool::new(false),
             paused_until: Mutex::default(),
@@ -112,4 +120,34 @@
             self.pool.invalidate();
         }
     }
+
+    /// Whether the target is in its cold start.
+    pub(super) fn is_cold(&self) -> bool {
+        self.cold.load(Ordering::Relaxed)
+    }
+
+    /// Records whether the target is in its cold start.
+    pub(super) fn set_cold(&self, cold: bool) {
+        self.cold.store(cold, Ordering::Relaxed);
+    }
+
+    /// Which sub-requests a rollout of the service allows to the target now.
+    pub(super) fn admission(&self) -> Admission {
+        Admission::from_repr(self.admission.load(Ordering::Relaxed)).unwrap_or(Admission::Closed)
+    }
+
+    /// Changes the admission, also for sub-requests that have chosen the target and are not sent yet.
+    pub(super) fn set_admission(&self, admission: Admission) {
+        self.admission.store(admission as u8, Ordering::Relaxed);
+    }
+
+    /// Whether a sub-request that has chosen the target may still be sent. The answer holds for this moment only: the
+    /// stage of a rollout changes, and a process that stood still has lost its lease.
+    pub(super) fn is_admitted(&self, freshness: &Freshness) -> bool {
+        match self.admission() {
+            Admission::Open | Admission::Old => true,
+            Admission::New | Admission::Final => freshness.has_lease(),
+            Admission::Closed => false,
+        }
+    }
 }
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -12,7 +12,10 @@
 
 use crate::{
     policy::{budget::Budget, ownership},
-    relay::{split::SplitPicker, target::Target, typical::LatencyEstimate, wait::WaitQueue},
+    relay::{
+        admission::Admission, freshness::Freshness, rollout::Track, split::SplitPicker,
+        target::Target, typical::LatencyEstimate, wait::WaitQueue,
+    },
     route,
     state::Node,
 };
@@ -44,24 +47,44 @@
     pub(super) retry_budget: Arc<Mutex<Budget>>,
     /// Sub-requests that wait until a target has room.
     pub(super) queue: WaitQueue,
+    /// The rollout of the service that is running.
+    pub(super) rollout: Option<Arc<Track>>,
 }
 
 impl Service {
+    /// The targets that any sub-request may choose: all but those of a new version on trial.
+    pub(super) fn regular_targets(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.targets.iter().filter(|it| it.admission() != Admission::New)
+    }
+
+    /// Whether a target may be chosen, now or when it has room. `is_canary` tells that this is a sub-request for the new
+    /// version on trial.
+    pub(super) fn has_usable_target(&self, is_canary: bool) -> bool {
+        let is_open = |it: &Arc<Target>| is_canary || it.admission() != Admission::New;
+        self.targets.iter().any(|it| it.is_usable() && is_open(it))
+    }
+
+    /// Whether sub-requests go to neither version: the rollout is finishing as far as this host knows, and control hosts
+    /// have not confirmed that lately. The old targets may be gone, and the new version may have been rolled back.
+    pub(super) fn is_suspended(&self, freshness: &Freshness) -> bool {
+        self.rollout.as_ref().is_some_and(|it| it.is_finishing()) && !freshness.has_lease()
+    }
+
     /// Whether none of the service's targets has responded lately.
     pub(super) fn is_down(&self, now: Instant) -> bool {
-        self.targets.iter().all(|it| it.stats.lock().is_down(now))
+        self.regular_targets().all(|it| it.stats.lock().is_down(now))
     }
 
     /// When the first pause ends, if all usable targets are paused.
     pub(super) fn paused_until(&self, now: Instant) -> Option<Instant> {
-        let usable = self.targets.iter().filter(|it| it.is_usable());
+        let usable = self.regular_targets().filter(|it| it.is_usable());
         let ends: Option<Vec<_>> = usable.map(|it| it.paused_until(now)).collect();
         ends?.into_iter().min()
     }
 
     /// Whether the service has a target in this zone.
     pub(super) fn has_targets_in(&self, zone: &str) -> bool {
-        self.targets.iter().any(|it| it.zone == zone)
+        self.regular_targets().any(|it| it.zone == zone)
     }
 }
 
--- a/src/relay/wait.rs
+++ b/src/relay/wait.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     policy::queue::{Bounds, Queue, Ticket},
-    relay::{request::Query, target::Target, view::Service},
+    relay::{host::Host, request::Query, target::Target, view::Service},
 };
 
 /// A single request waits for a target at most for the time until its hard deadline divided by this, so that its caller
@@ -54,10 +54,13 @@
     }
 }
 
-/// Waits until `pick` finds a target. The error is the reason why it is of no use to wait any longer.
+/// Waits until `pick` finds a target. The error is the reason why it is of no use to wait any longer. `is_canary` tells
+/// that the sub-request is one for the new version of a rollout on trial.
 pub(super) async fn for_target(
+    host: &Host,
     query: &Query,
     service: &Service,
+    is_canary: bool,
     mut pick: impl FnMut() -> Option<Arc<Target>>,
 ) -> Result<Arc<Target>, &'static str> {
     if service.queue.lock().is_empty()
@@ -83,10 +86,13 @@
         if has_turn && let Some(target) = pick() {
             return Ok(target);
         }
-        if !service.targets.iter().any(|it| it.is_usable()) {
+        if service.is_suspended(&host.freshness) {
+            return Err("rollout_unconfirmed");
+        }
+        if !service.has_usable_target(is_canary) {
             return Err("no_target");
         }
-        if service.paused_until(now).is_some_and(|it| it >= bounds.hard) {
+        if !is_canary && service.paused_until(now).is_some_and(|it| it >= bounds.hard) {
             return Err("targets_paused");
         }
         // Shards that the response needs wait even so: rejecting one would waste the work of those that have responded.
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -11,6 +11,7 @@
 mod gather;
 mod leaving;
 mod responses;
+mod rollout;
 mod single;
 mod split;
 mod supervision;
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -17,7 +17,7 @@
     relay::{self, Headers, SERVICE_LABEL, Settings},
     route::{Kind, Limits, Route, Service, Shards, Table, To},
     state::{Change, Config, Entry, Phase, Reply, Tables, Target},
-    wire::control::{Poll, Submit, Update},
+    wire::control::{Evidence, Poll, Submit, Update},
 };
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -283,6 +283,10 @@
     stopped: Arc<Mutex<Option<String>>>,
     /// Whether submitted changes get no response.
     submissions_hang: Arc<AtomicBool>,
+    /// Whether polls get no response.
+    polls_hang: Arc<AtomicBool>,
+    /// The last evidence of each relay.
+    evidence: Arc<Mutex<BTreeMap<String, Evidence>>>,
     revision: watch::Sender<u64>,
 }
 
@@ -297,6 +301,21 @@
         self.submissions_hang.store(true, Ordering::SeqCst);
     }
 
+    /// From now on, polls get no response, or get one again.
+    pub fn hang_polls(&self, hang: bool) {
+        self.polls_hang.store(hang, Ordering::SeqCst);
+    }
+
+    /// The last evidence of a relay.
+    pub fn evidence(&self, name: &str) -> Option<Evidence> {
+        self.evidence.lock().get(name).cloned()
+    }
+
+    /// The configuration.
+    pub fn config(&self) -> Config {
+        self.tables.lock().config.clone()
+    }
+
     /// The targets that are in service.
     pub fn serving_targets(&self) -> Vec<String> {
         let tables = self.tables.lock();
@@ -336,6 +355,9 @@
 
 impl ControlHandler for StubControl {
     async fn poll(&self, poll: Poll) -> Result<Update> {
+        if self.polls_hang.load(Ordering::SeqCst) {
+            std::future::pending::<()>().await;
+        }
         let mut revision = self.revision.subscribe();
         let changed = revision.wait_for(|it| *it != poll.revision);
         let changed =
@@ -353,6 +375,10 @@
         }
         Ok(self.apply(submit.change))
     }
+
+    fn record_evidence(&self, evidence: Evidence) {
+        self.evidence.lock().insert(evidence.reporter.process_name.clone(), evidence);
+    }
 }
 
 /// A relay with the stub control host that it polls.
@@ -374,6 +400,8 @@
             tables: Arc::default(),
             stopped: Arc::default(),
             submissions_hang: Arc::default(),
+            polls_hang: Arc::default(),
+            evidence: Arc::default(),
             revision: watch::Sender::new(0),
         };
         let control_addr = control::serve(control.clone()).await.unwrap();
@@ -514,6 +542,7 @@
         max_config_age: relay::DEFAULT_MAX_CONFIG_AGE,
         grace_period: Duration::from_secs(2),
         max_descriptors: relay::DEFAULT_MAX_DESCRIPTORS,
+        rollouts: false,
     }
 }
 
