Rollouts: canary analysis, schedule, leader, platform API

Missing: nobody decided about a rollout, and it could not be ordered. Change: policy::rollout::judge compares failures and slow answers of the new version with the old one per route, over the whole time and recent windows; policy::rollout::next has the stages; control::rollout keeps the evidence and proposes the steps; POST /rollouts/start and GET /rollouts/SERVICE/get if contracts has rollout.

--- a/src/control/actions.rs
+++ b/src/control/actions.rs
@@ -153,6 +153,17 @@
             change if change.is_operator_change() => {
                 Event::new(event::Kind::ConfigApplied, format!("operator: {change:?}"))
             }
+            Change::StartRollout(it) => {
+                let cause = format!("rollout of {} to {:?} started", it.service, it.target_version);
+                Event::new(event::Kind::ConfigApplied, cause)
+            }
+            Change::AdvanceRollout(it) => Event::new(
+                event::Kind::ConfigApplied,
+                format!(
+                    "rollout of {} to {:?} is {}: {}",
+                    it.service, it.target_version, it.stage, it.reason
+                ),
+            ),
             _ => return,
         };
         self.host.events.record(event);
@@ -191,6 +202,7 @@
             self.last_led_term = term;
             self.node_liveness.reset();
             self.target_liveness.reset();
+            self.rollouts.forget_evidence(self.now_ms());
             self.record_event(event::Kind::Election, format!("became leader in term {term}"));
         }
         if self.core.role() != Role::Leader && old == Role::Leader {
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -16,7 +16,10 @@
 use tokio::{runtime::Handle, sync::oneshot};
 
 use crate::{
-    control::{host::Host, liveness::Liveness, raft_transport::RaftTransport, state_machine},
+    control::{
+        host::Host, liveness::Liveness, raft_transport::RaftTransport, rollout::Rollouts,
+        state_machine,
+    },
     error::{Error, Kind, Result},
     event::unix_ms,
     raft::{
@@ -82,6 +85,7 @@
     pub(super) pending_reads: HashMap<u64, Responder<Index>>,
     pub(super) node_liveness: Liveness,
     pub(super) target_liveness: Liveness,
+    pub(super) rollouts: Rollouts,
     pub(super) schedule: super::upkeep::Schedule,
     /// The newest term in which this host became leader.
     pub(super) last_led_term: Term,
@@ -119,6 +123,7 @@
             pending_reads: HashMap::new(),
             node_liveness: Liveness::default(),
             target_liveness: Liveness::default(),
+            rollouts: Rollouts::default(),
             schedule: super::upkeep::Schedule::default(),
             last_led_term: 0,
             last_loop_ms: 0,
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -15,7 +15,10 @@
     error::{Error, Kind, Result},
     event::{Event, Kind as EventKind, unix_ms},
     route,
-    state::{Change, DRAIN_LABEL, Object, ObjectKind, Phase, Reply, Revision, Target, check_name},
+    state::{
+        Change, DRAIN_LABEL, Object, ObjectKind, Phase, Reply, Revision, Rollout, Target,
+        check_name, rollout::Start,
+    },
     wire::control::{ProcessId, Submit},
 };
 
@@ -42,6 +45,20 @@
     max_clock_skew: Duration,
     latest_calls: Mutex<HashMap<String, LatestCall>>,
     pending_renewals: Mutex<Vec<ProcessId>>,
+    /// Services with an order of a rollout in progress.
+    rollout_orders: Mutex<HashSet<String>>,
+}
+
+/// Marks an order of a rollout as in progress until it is dropped.
+struct RolloutOrder<'a> {
+    orders: &'a Mutex<HashSet<String>>,
+    service: &'a str,
+}
+
+impl Drop for RolloutOrder<'_> {
+    fn drop(&mut self) {
+        self.orders.lock().remove(self.service);
+    }
 }
 
 impl Registry {
@@ -54,6 +71,7 @@
             max_clock_skew,
             latest_calls: Mutex::default(),
             pending_renewals: Mutex::default(),
+            rollout_orders: Mutex::default(),
         }
     }
 
@@ -206,6 +224,27 @@
         Ok(self.host.with_tables(|it| it.config.routes.clone()))
     }
 
+    /// Commits an order to start a rollout. The same order again changes nothing. It conflicts with an order of the same
+    /// service that is in progress here, and with a running rollout to another version.
+    pub async fn start_rollout(&self, start: Start) -> Result<Revision> {
+        let service = start.service.clone();
+        if !self.rollout_orders.lock().insert(service.clone()) {
+            let message = format!("an order of a rollout of {service:?} is in progress");
+            return Err(Error::new(Kind::Conflict, message));
+        }
+        let _order = RolloutOrder { orders: &self.rollout_orders, service: &service };
+        self.commit(None, Change::StartRollout(start)).await
+    }
+
+    /// Returns the last rollout of a service by a linearizable read.
+    pub async fn rollout(&self, service: &str) -> Result<Rollout> {
+        self.host.read_barrier(Vec::new()).await?;
+        let rollout = self.host.with_tables(|it| it.config.rollouts.get(service).cloned());
+        rollout.ok_or_else(|| {
+            Error::new(Kind::NotFound, format!("no rollout of {service:?} was ordered"))
+        })
+    }
+
     /// Starts or ends the drain of a zone, through its drain label.
     pub async fn drain_zone(&self, zone: &str, drain: bool) -> Result<()> {
         let end = Instant::now() + self.commit_timeout;
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -21,6 +21,7 @@
 const SNAPSHOT_INTERVAL_MS: u64 = 250;
 /// How often a leader with a full disk tries to transfer leadership. Each transfer costs an election.
 const LEADERSHIP_TRANSFER_INTERVAL_MS: u64 = 10_000;
+const ROLLOUT_INTERVAL_MS: u64 = 200;
 const METRICS_INTERVAL_MS: u64 = 1_000;
 /// Leaving targets expire after this many times the expiry of serving ones.
 const LEAVING_TARGET_EXPIRY_FACTOR: u64 = 6;
@@ -35,6 +36,7 @@
     disk_check: u64,
     leadership_transfer: u64,
     metrics: u64,
+    rollouts: u64,
 }
 
 /// Whether a task is due; if so, also schedules its next run.
@@ -67,6 +69,10 @@
         if is_due(&mut self.schedule.metrics, now_ms, METRICS_INTERVAL_MS) {
             self.update_state_gauges();
         }
+        let rollouts_due = is_due(&mut self.schedule.rollouts, now_ms, ROLLOUT_INTERVAL_MS);
+        if rollouts_due {
+            self.follow_rollouts(now_ms);
+        }
         // A new leader waits until `handle_role_change` has reset the liveness of all processes for its term.
         if self.core.role() != Role::Leader || self.last_led_term != self.core.hard_state().term {
             return Ok(());
@@ -77,6 +83,9 @@
             self.expire_nodes(now_ms)?;
             self.expire_targets(now_ms)?;
         }
+        if rollouts_due && !self.log.is_disk_full() {
+            self.advance_rollouts(now_ms)?;
+        }
         if is_due(&mut self.schedule.clock, now_ms, CLOCK_INTERVAL_MS) && !self.log.is_disk_full() {
             self.propose_internal(Change::Tick)?;
         }
@@ -222,5 +231,6 @@
         for (name, value) in values {
             self.host.metrics.state_gauges.with_label_values(&[name]).set(value as i64);
         }
+        self.update_rollout_gauges();
     }
 }
--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -1,5 +1,11 @@
 //! Decisions about a rollout: whether the new version is bad, and when which stage follows.
 
+mod schedule;
+mod verdict;
+
+pub use schedule::{LEASE_MS, SILENCE_MS, Situation, finishing_ms, next, trial_ppm};
+pub use verdict::{BAD_NATS, DOUBT_NATS, Trail, Verdict, judge};
+
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
--- a/src/state/rollout.rs
+++ b/src/state/rollout.rs
@@ -16,7 +16,7 @@
 };
 
 /// Maximum length of a reason, in bytes.
-const MAX_REASON_BYTES: usize = 512;
+pub const MAX_REASON_BYTES: usize = 512;
 
 /// Reason of a rollout whose service is no longer configured.
 const SERVICE_REMOVED: &str = "a configuration removed the service";
