relay: one request per host in advance of the share; cost of the choice

Two requests per host in advance of the share are 140 at 70 hosts, more than the 50 by which the exposure may exceed it. It is one now, the least with which a trial can begin. The lease is the one of `policy::rollout`.

The example policy_cost measures the draw with the admission of three targets and the evidence of one answer. Tests without a relay move to tests/relay/exposure.rs.

--- a/examples/policy_cost.rs
+++ b/examples/policy_cost.rs
@@ -14,7 +14,9 @@
         latency::LatencyWindow,
         pick::LoadTable,
         pin,
+        rollout::Counts,
     },
+    relay::{Admission, Choice, Exposure},
     state::{Change, Config, Group, Holding, Match, Node, Phase, Target, View},
     wire::owner::{Class, Hint},
 };
@@ -68,6 +70,21 @@
     bench("canary order, 2,580 targets", || {
         canary::target_order(1, view.targets().map(|(key, it)| (key, it.name.as_str())))
     });
+    let exposure = Exposure::default();
+    exposure.set_ppm(50_000);
+    let admissions = black_box([Admission::Old, Admission::Old, Admission::New]);
+    bench("rollout, draw and admission of 3 targets", || {
+        let choice = if exposure.draw(&mut rng) {
+            exposure.record_sent_new();
+            Choice::Canary
+        } else {
+            exposure.record_reached_old();
+            Choice::Regular
+        };
+        admissions.iter().filter(|it| it.allows(choice, true)).count()
+    });
+    let mut counts = Counts::default();
+    bench("rollout, evidence of one answer", || counts.record(false, Some(black_box(service))));
     bench("entries, 11 hosts", || entries::addresses("janitor", view.nodes().map(|(_, it)| it)));
 }
 
--- a/src/relay/exposure.rs
+++ b/src/relay/exposure.rs
@@ -6,9 +6,9 @@
 
 use crate::route::PPM_SCALE;
 
-/// Requests that a host may send to the new version before any has reached the old one. All hosts together stay below
-/// the 50 requests by which the exposure may exceed its share.
-const INITIAL_REQUESTS: u64 = 2;
+/// Requests that a host may send to the new version beyond its share. All hosts together may exceed the share by 50
+/// requests, so that one is the least and, with some 70 hosts, the most that a host can have.
+const INITIAL_REQUESTS: u64 = 1;
 
 /// By how much the requests sent to the new version may exceed their share of those that reached a target, in percent.
 /// Draws vary around the share, and a limit without a margin would hold them below it.
--- a/src/relay/freshness.rs
+++ b/src/relay/freshness.rs
@@ -9,15 +9,15 @@
 use parking_lot::Mutex;
 use tokio::{sync::watch, time::timeout};
 
-use crate::{descriptors, relay::host::Host};
+use crate::{descriptors, policy::rollout::LEASE_MS, relay::host::Host};
 
 /// A configuration that was not confirmed for this long is logged as late. While nothing changes, its age cycles up to
 /// two polls and their ways, because a poll is held for a second and the age counts from its sending.
 pub const LATE_CONFIG_AGE: Duration = Duration::from_millis(2_500);
 
 /// For how long a confirmation of the configuration allows requests to a version under rollout. Control hosts wait for
-/// this time before they rely on a host that does not answer.
-const LEASE: Duration = Duration::from_secs(2);
+/// longer before they go on without a host that does not answer.
+const LEASE: Duration = Duration::from_millis(LEASE_MS);
 
 /// Minimum time between two log lines about a configuration that is not confirmed.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
--- a/src/relay/rollout.rs
+++ b/src/relay/rollout.rs
@@ -1,4 +1,9 @@
 //! The rollouts that this host follows: which targets sub-requests may choose, and how many go to the new version.
+//!
+//! Without a lease nothing goes to a version under rollout. In a trial the old version serves then. A host that is cut off
+//! in a trial does not learn that the rollout was completed and may choose targets that are gone; they refuse the
+//! connection, so that the request is refused as not run. In the last stage the old version is not chosen, because the
+//! control hosts may have completed the rollout after the lease; requests are refused at once.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod delegate;
 mod descriptors;
 mod directory;
+mod exposure;
 mod fake_control;
 mod follow;
 mod gather;
--- a/tests/relay/rollout.rs
+++ b/tests/relay/rollout.rs
@@ -6,7 +6,6 @@
 };
 
 use gentianpass::{
-    relay::{Admission, Choice, Exposure},
     route::{Kind, Route, Service},
     state::{
         Change, Phase, Rollout, SOFTWARE_LABEL, Stage, Target,
@@ -15,13 +14,12 @@
     wire::control::Observation,
 };
 use hyper::{StatusCode, header::RETRY_AFTER};
-use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::sleep;
 
 use crate::support::{Behaviour, Harness, StubTarget, record, single, target};
 
-const OLD: &str = "v1";
-const NEW: &str = "v2";
+pub const OLD: &str = "v1";
+pub const NEW: &str = "v2";
 
 /// Time in which a relay follows a change of the configuration.
 const APPLY: Duration = Duration::from_millis(250);
@@ -76,6 +74,15 @@
         }
     }
 
+    /// Sends a request that must be refused at once as not run.
+    async fn get_refused(&self) {
+        let start = Instant::now();
+        let (status, headers, _) = self.harness.get("/one/x").await;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(headers.contains_key(RETRY_AFTER));
+        assert!(start.elapsed() < Duration::from_millis(300), "{:?}", start.elapsed());
+    }
+
     /// The requests that have reached the old and the new target.
     fn counts(&self) -> (usize, usize) {
         (self.old.request_count(), self.new.request_count())
@@ -98,72 +105,6 @@
     target
 }
 
-/// Guards against a share above the one set, and against a limit that keeps the share too low for a judgement.
-#[test]
-fn exposure_draw_share() {
-    let mut rng = SmallRng::seed_from_u64(7);
-    let exposure = Exposure::default();
-    exposure.set_ppm(50_000);
-    let mut drawn = 0;
-    for _ in 0..20_000 {
-        if exposure.draw(&mut rng) {
-            exposure.record_sent_new();
-            drawn += 1;
-        } else {
-            exposure.record_reached_old();
-        }
-    }
-    assert!((900..=1_100).contains(&drawn), "{drawn} of 20,000");
-}
-
-/// Guards against a new version that gets all requests which reach a target, because no old target can be reached.
-#[test]
-fn exposure_draw_old_unreachable() {
-    let mut rng = SmallRng::seed_from_u64(7);
-    let exposure = Exposure::default();
-    exposure.set_ppm(100_000);
-    let mut drawn = 0;
-    for _ in 0..10_000 {
-        if exposure.draw(&mut rng) {
-            exposure.record_sent_new();
-            drawn += 1;
-        }
-    }
-    assert_eq!(drawn, 2);
-}
-
-#[test]
-fn admission_each_stage() {
-    let rollout = |stage| Rollout {
-        service: "s".into(),
-        target_version: NEW.into(),
-        started_ms: 1,
-        duration_ms: 1,
-        stage,
-        exposure_ppm: 1,
-        reason: String::new(),
-    };
-    let admissions = |in_force: Option<&str>, rollout: Option<Rollout>| {
-        let admission = |it| Admission::new(it, in_force, rollout.as_ref());
-        [Some(OLD), Some(NEW), Some("v3"), None].map(admission)
-    };
-    use Admission::{Closed, Final, New, Old, Open};
-    assert_eq!(admissions(None, None), [Open; 4]);
-    assert_eq!(admissions(Some(OLD), None), [Open, Closed, Closed, Closed]);
-    let cases = [
-        (OLD, Stage::Trial, [Old, New, Closed, Closed]),
-        (OLD, Stage::Finishing, [Closed, Final, Closed, Closed]),
-        (NEW, Stage::Completed, [Closed, Open, Closed, Closed]),
-        (OLD, Stage::RolledBack, [Open, Closed, Closed, Closed]),
-    ];
-    for (in_force, stage, expected) in cases {
-        assert_eq!(admissions(Some(in_force), Some(rollout(stage))), expected, "{stage}");
-    }
-    assert!(New.allows(Choice::Canary, true) && !New.allows(Choice::Canary, false));
-    assert!(!New.allows(Choice::Regular, true) && !Old.allows(Choice::Canary, true));
-    assert!(Final.allows(Choice::Regular, true) && !Final.allows(Choice::Regular, false));
-}
-
 /// Guards against exposure above the bound of the page (share and slack), and against a trial without requests.
 #[tokio::test]
 async fn trial_share() {
@@ -209,11 +150,7 @@
     let old = versioned("old", OLD, deployment.old.addr);
     deployment.harness.control.apply(Change::PutTarget(Target { phase: Phase::Leaving, ..old }));
     sleep(APPLY).await;
-    let start = Instant::now();
-    let (status, headers, _) = deployment.harness.get("/one/x").await;
-    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
-    assert!(headers.contains_key(RETRY_AFTER));
-    assert!(start.elapsed() < Duration::from_millis(300), "{:?}", start.elapsed());
+    deployment.get_refused().await;
     assert_eq!(deployment.counts(), (0, 0));
 }
 
@@ -297,11 +234,7 @@
     deployment.advance(Stage::Finishing).await;
     deployment.harness.control.hang_polls(true);
     sleep(Duration::from_millis(2_100)).await;
-    let start = Instant::now();
-    let (status, headers, _) = deployment.harness.get("/one/x").await;
-    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
-    assert!(headers.contains_key(RETRY_AFTER));
-    assert!(start.elapsed() < Duration::from_millis(300), "{:?}", start.elapsed());
+    deployment.get_refused().await;
     assert_eq!(deployment.counts(), (0, 0));
     deployment.harness.control.hang_polls(false);
     sleep(Duration::from_secs(2)).await;
