--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -16,7 +16,10 @@
 use tokio::{runtime::Handle, sync::oneshot};
 
 use crate::{
-    control::{host::Host, liveness::Liveness, raft_transport::RaftTransport, state_machine},
+    control::{
+        host::Host, liveness::Liveness, raft_transport::RaftTransport, rollout::Rollouts,
+        state_machine,
+    },
     error::{Error, Kind, Result},
     event::unix_ms,
     raft::{
@@ -25,7 +28,7 @@
     },
     state::{ChangeId, Reply},
     store,
-    wire::control::{Identity, JoinReply, ProcessId, Submit},
+    wire::control::{Evidence, Identity, JoinReply, ProcessId, Submit},
 };
 
 /// Longest interval between two ticks of the Raft core, which drive its heartbeats and election timeouts.
@@ -54,6 +57,8 @@
     /// Asks for a read index: a commit index that a quorum confirms. Also carries the heartbeats that came with the
     /// read.
     Read(Vec<ProcessId>, Responder<Index>),
+    /// Evidence of a relay about the running rollouts.
+    Evidence(Evidence),
     /// A host that asks to be added to the membership as a learner, or whose name, zone or address changed.
     Join(Identity, Responder<JoinReply>),
     /// Creates a new cluster with these voters.
@@ -80,6 +85,7 @@
     pub(super) pending_reads: HashMap<u64, Responder<Index>>,
     pub(super) node_liveness: Liveness,
     pub(super) target_liveness: Liveness,
+    pub(super) rollouts: Rollouts,
     pub(super) schedule: super::upkeep::Schedule,
     /// The newest term in which this host became leader.
     pub(super) last_led_term: Term,
@@ -117,6 +123,7 @@
             pending_reads: HashMap::new(),
             node_liveness: Liveness::default(),
             target_liveness: Liveness::default(),
+            rollouts: Rollouts::default(),
             schedule: super::upkeep::Schedule::default(),
             last_led_term: 0,
             last_loop_ms: 0,
@@ -167,6 +174,7 @@
                 Input::Message(from, message) => self.receive(from, message)?,
                 Input::Propose(submit, tx) => self.propose(&submit, tx, &mut proposals),
                 Input::Read(heartbeats, tx) => self.read(heartbeats, tx)?,
+                Input::Evidence(evidence) => self.record_evidence(evidence),
                 Input::Join(identity, tx) => self.join(identity, tx)?,
                 Input::Bootstrap(initial_voters, tx) => self.bootstrap(initial_voters, tx)?,
                 Input::Stop(tx) => {
--- a/src/control/poller.rs
+++ b/src/control/poller.rs
@@ -59,6 +59,11 @@
         Self { candidates, clients: HashMap::new(), node, incarnation, wait }
     }
 
+    /// Changes for how long a poll waits at most for a newer revision, from the next poll on.
+    pub fn set_wait(&mut self, wait: Duration) {
+        self.wait = wait;
+    }
+
     /// Replaces the list of control hosts, the preferred ones first. Connections to hosts that stay in the list are
     /// kept. Hosts that leave the list are asked after all others for some time, those of the settings always: the list
     /// comes from one control host and may be outdated. An empty list is ignored.
@@ -241,6 +246,7 @@
             *config = *new;
             Ok(changed.then(|| format!("revision {}: full configuration", config.revision)))
         }
+        packed @ Update::Packed(..) => apply_update(config, packed.unpacked()),
     }
 }
 
@@ -265,6 +271,12 @@
         Change::Leave { name, .. } => format!("target {name} leaves"),
         Change::Exonerate { fingerprint } => format!("{fingerprint:016x} was answered"),
         Change::Tick => "expired suspect requests".into(),
+        Change::StartRollout(it) => {
+            format!("rollout of {} to {:?} was ordered", it.service, it.target_version)
+        }
+        Change::AdvanceRollout(it) => {
+            format!("rollout of {} to {:?} is {}", it.service, it.target_version, it.stage)
+        }
         Change::Claim(_) | Change::Settle { .. } => "changed claims".into(),
     };
     format!("revision {revision}: {description}")
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,3 +13,4 @@
 pub mod pick;
 pub mod pin;
 pub mod queue;
+pub mod rollout;
--- a/src/relay/gather.rs
+++ b/src/relay/gather.rs
@@ -12,13 +12,13 @@
     policy::admission::{self, Overload},
     relay::{
         call::{self, Failure},
-        exchange::{self, NotRunReason, TargetResponse},
+        exchange::{NotRunReason, TargetResponse},
         group::{self, DelegateEvent},
         host::Host,
         records::merge_records,
         request::Query,
         response::{self, Refusal},
-        wait,
+        transmit, wait,
     },
     route::Shards,
     wire::relay::{FailedShard, Progress},
@@ -137,7 +137,7 @@
     let targets = services.flat_map(|it| &it.targets);
     targets
         .filter(|it| progress.leaving.contains(&it.process()))
-        .for_each(|it| exchange::retire(host, it));
+        .for_each(|it| transmit::retire(host, it));
 }
 
 impl ShardResults {
--- a/src/relay/response.rs
+++ b/src/relay/response.rs
@@ -14,10 +14,11 @@
 use rand::RngExt;
 
 use crate::relay::{
-    exchange::{KEEP_ALIVE, NotRunReason, TargetResponse},
+    exchange::{NotRunReason, TargetResponse},
     host::Host,
     request::Query,
     sender::Denial,
+    transmit::KEEP_ALIVE,
     view::View,
 };
 
--- a/src/relay/wait.rs
+++ b/src/relay/wait.rs
@@ -58,11 +58,13 @@
     }
 }
 
-/// Waits until `pick` finds a target. The error is the reason why it is of no use to wait any longer.
+/// Waits until `pick` finds a target. The error is the reason why it is of no use to wait any longer. `is_canary` tells
+/// that the sub-request is one for the new version of a rollout on trial.
 pub(super) async fn for_target(
     host: &Host,
     query: &Query,
     service: &Service,
+    is_canary: bool,
     mut pick: impl FnMut() -> Option<Arc<Target>>,
 ) -> Result<Arc<Target>, &'static str> {
     if service.queue.lock().is_empty()
@@ -91,10 +93,13 @@
         if has_turn && let Some(target) = pick() {
             return Ok(target);
         }
-        if !service.targets.iter().any(|it| it.is_usable() && query.allows(it)) {
+        if service.is_suspended(&host.freshness) {
+            return Err("rollout_unconfirmed");
+        }
+        if !service.has_usable_target(query, is_canary) {
             return Err("no_target");
         }
-        if service.paused_until(now).is_some_and(|it| it >= bounds.hard) {
+        if !is_canary && service.paused_until(now).is_some_and(|it| it >= bounds.hard) {
             return Err("targets_paused");
         }
         // Shards that the response needs wait even so: rejecting one would waste the work of those that have responded.
--- a/src/state/digest.rs
+++ b/src/state/digest.rs
@@ -71,6 +71,8 @@
             versions,
             suspects,
             routes: Table { version, document: _, routes, services, limits, tenants },
+            rollouts,
+            service_versions,
         } = self;
         let shared = Shared {
             revision: *revision,
@@ -94,6 +96,11 @@
             bincode::serialize_into(&mut hasher, &(public, tenants))
                 .expect("tenants can be serialized");
         }
+        // Left out while empty, so that the digest is that of earlier releases, which do not have them.
+        if !rollouts.is_empty() || !service_versions.is_empty() {
+            bincode::serialize_into(&mut hasher, &(rollouts, service_versions))
+                .expect("rollouts can be serialized");
+        }
         hasher.0.digest()
     }
 }
