--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,3 +12,4 @@
 pub mod pick;
 pub mod pin;
 pub mod queue;
+pub mod quota;
