policy: quota properties over random histories

Missing: nothing showed that the bucket, its grants and the reserve keep the bound. The properties cover grants, losses, frozen holders, replaced owners and deputies and lowered limits, and that a tenant whose requests stay within rate and burst is never refused.

--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -10,6 +10,7 @@
 mod pick;
 mod pin;
 mod queue;
+mod quota;
 
 use std::net::SocketAddr;
 
