relay: requests take a token of their tenant's quota

Missing: nothing enforced the limits of tenants. A relay asks the owner of a tenant's bucket, then its deputy, over the connections between relays; requests that wait share one answer.

--- a/src/relay/delegate.rs
+++ b/src/relay/delegate.rs
@@ -52,6 +52,7 @@
         match timeout(IDLE_TIMEOUT, conn.receive()).await?? {
             Message::Ping => conn.send(&Reply::Accepted).await?,
             Message::Detach => return Ok(()),
+            Message::Quota(it) => conn.send(&Reply::Quota(host.quotas.serve(host, &it))).await?,
             Message::Delegate(it) => run_delegation(host, &mut conn, *it, None).await?,
             Message::DelegateFor(sender, it) => {
                 run_delegation(host, &mut conn, *it, Some(&sender)).await?;
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -188,6 +188,7 @@
     fn record_config_age(&self, sent_at: Instant) {
         let Host { freshness, metrics, .. } = &*self.host;
         let (age, is_again) = freshness.confirm(sent_at);
+        self.host.quotas.confirm(&self.host, sent_at);
         if is_again {
             metrics.record_config_age(age);
         }
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -21,7 +21,7 @@
     metric,
     relay::{
         buffer::Buffers, builder::Builder, freshness::Freshness, metrics::Metrics, peer::Peers,
-        report, retired::Retired, settings::Settings, suspect::Suspects, view::View,
+        quota::Quotas, report, retired::Retired, settings::Settings, suspect::Suspects, view::View,
     },
     state::{Config, Node},
 };
@@ -62,6 +62,8 @@
     pub(super) callers: Arc<Connections>,
     /// Connections to the other relays.
     pub(super) peers: Peers,
+    /// Quotas of tenants: what this relay holds and what it grants.
+    pub(super) quotas: Quotas,
     /// Bodies of responses that are being received.
     pub(super) buffers: Buffers,
     /// Requests that crashed targets.
@@ -102,6 +104,7 @@
             stop_accepting: Notify::new(),
             callers: Arc::new(Connections::new("callers", cfg.max_callers())),
             peers: Peers::default(),
+            quotas: Quotas::new(&cfg, &registry),
             buffers: Buffers::default(),
             suspects: Suspects::default(),
             reports: report::Queue::default(),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,9 +5,10 @@
 //! request, `buffer` on a response, `exchange`, `pool` and `peer` on a connection, `view` on a revision of the
 //! configuration, the others on the process.
 //!
-//! Locks of `parking_lot` are never held across an await. They nest in three places only: the builder's lock around
-//! those of targets and budgets, the lock of a target's statistics around that of its cold-start limiter, and the lock
-//! of known crashes around that of unreported ones.
+//! Locks of `parking_lot` are never held across an await. They nest in few places only: the builder's lock around
+//! those of targets and budgets, the lock of a target's statistics around that of its cold-start limiter, the lock
+//! of known crashes around that of unreported ones, and in `quota` the lock of the holders around those of the members, the
+//! ledger and the report.
 
 mod audit;
 mod buffer;
@@ -27,6 +28,7 @@
 mod metrics;
 mod peer;
 mod pool;
+mod quota;
 mod records;
 mod report;
 mod request;
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -25,6 +25,7 @@
         exchange::{DetachFlag, TargetRequest},
         gather,
         host::Host,
+        quota,
         response::{self, Refusal},
         sender::{self, Denial, Origin, Sender},
         settings::Headers,
@@ -343,6 +344,12 @@
         host.metrics.record_answer(&query, "refused");
         return response::refuse(host, &query, &Refusal::new(false, false, "leaving"));
     }
+    if let Err((refusal, retry_after)) = quota::admit(host, &query).await {
+        host.metrics.record_answer(&query, refusal.cause());
+        let mut response = response::text(refusal.status(), refusal.cause(), retry_after);
+        response::set_request_id(host, &query, response.headers_mut());
+        return response;
+    }
     tokio::select! {
         biased;
         response = dispatch(host, &query) => response,
--- a/src/relay/response.rs
+++ b/src/relay/response.rs
@@ -86,13 +86,14 @@
     response
 }
 
-/// Builds a response of the relay itself, with the cause as its body. `wait` is sent as `Retry-After` with status 503.
+/// Builds a response of the relay itself, with the cause as its body. `wait` is sent as `Retry-After` with status
+/// 429 and 503.
 pub(super) fn text(status: StatusCode, cause: &str, wait: Duration) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::copy_from_slice(cause.as_bytes())));
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    if status == StatusCode::SERVICE_UNAVAILABLE {
+    if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
         let seconds = format!("{:.3}", wait.as_secs_f64());
         if let Ok(seconds) = HeaderValue::from_str(&seconds) {
             headers.insert(RETRY_AFTER, seconds);
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -4,7 +4,7 @@
 
 use hyper::header::HeaderName;
 
-use crate::descriptors;
+use crate::{descriptors, policy::quota};
 
 /// Default of [`Settings::max_config_age`].
 pub const DEFAULT_MAX_CONFIG_AGE: Duration = Duration::from_millis(3_000);
@@ -68,6 +68,8 @@
     /// Retries and hedges that processes which start at the same time may together send to a service before it has had
     /// any requests.
     pub retry_initial: u32,
+    /// How far the requests of a tenant that reach targets may exceed its limit, over all hosts.
+    pub quota: quota::Bound,
     /// How long callers keep the addresses that they have looked up.
     pub address_ttl: Duration,
     /// A request for a route that the configuration does not have is refused for good only while control hosts have
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -21,6 +21,50 @@
     /// Like `Delegate`, for the request of a tenant. Appended, because the position of a variant is part of the encoding; a
     /// relay of a release without tenants closes the connection.
     DelegateFor(Sender, Box<Delegation>),
+    /// Asks the owner or the deputy of a tenant for tokens, or returns some. The reply is [`Reply::Quota`].
+    Quota(QuotaRequest),
+}
+
+/// The part of a relay in the quota of a tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum QuotaRole {
+    /// Has the bucket.
+    Owner,
+    /// Has a reserve for the time in which the owner does not answer.
+    Deputy,
+}
+
+/// A request for tokens of a tenant's quota.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaRequest {
+    /// The name of the tenant.
+    pub tenant: String,
+    /// The role in which the relay is asked. It refuses if it does not have that role.
+    pub role: QuotaRole,
+    /// Tokens for requests that wait.
+    pub needed: u32,
+    /// Further tokens that are expected to be used during the lease.
+    pub spare: u32,
+    /// An earlier grant of this relay, and how many of its tokens will not be used.
+    pub returned: Option<(u64, u32)>,
+}
+
+/// The answer to a [`QuotaRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum QuotaReply {
+    /// The relay has the role. Fewer tokens than needed may be granted, also none.
+    Granted {
+        /// Identifies the grant.
+        id: u64,
+        /// The number of tokens.
+        tokens: u32,
+        /// How long they may be used, from the moment they were asked for, in microseconds.
+        lease_us: u64,
+        /// The time until a further token is expected, in microseconds.
+        wait_us: u64,
+    },
+    /// The relay does not have the role, cannot be sure of it, or does not know a limit of the tenant.
+    NotReady,
 }
 
 /// The tenant that sends a request. The delegate accepts it only if the tenant holds the key in its table as well.
@@ -61,6 +105,8 @@
     Refused(String),
     /// The shards that have completed or failed since the previous reply.
     Progress(Progress),
+    /// The answer to a request for tokens.
+    Quota(QuotaReply),
 }
 
 /// The results of shards that have completed or failed.
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -14,6 +14,7 @@
 use gentianpass::{
     error::Result,
     lab::control::{self, ControlHandler},
+    policy::quota::Bound,
     relay::{self, Headers, SERVICE_LABEL, Settings},
     route::{Kind, Limits, Route, Service, Shards, Table, Tenant, To},
     state::{Change, Config, Entry, Phase, Reply, Tables, Target},
@@ -533,6 +534,7 @@
         retry_percent: 100,
         retry_burst: 100,
         retry_initial: 0,
+        quota: Bound::default(),
         address_ttl: Duration::from_secs(1),
         max_config_age: relay::DEFAULT_MAX_CONFIG_AGE,
         revoke_age: relay::DEFAULT_REVOKE_AGE,
