relay: tests of quotas; a tenure of 2.5 s

Seen: a relay with its own buckets never granted. Cause: control hosts hold polls for 1 s, so that the last confirmed poll was sent up to 2 s ago, and a tenure of 2 s lapsed at each poll. Change: 2.5 s, and only a gap of 2.9 s or more between confirmed polls starts it anew; control hosts remove a relay after 3 s.

--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -11,9 +11,14 @@
     time::{Duration, Instant},
 };
 
-/// How long a relay stays owner or deputy after it sent the last poll that control hosts confirmed. It is below the
-/// time after which control hosts remove a silent relay (3 s), so a relay that was removed no longer grants.
-pub const TENURE: Duration = Duration::from_secs(2);
+/// How long a relay stays owner or deputy after it sent the last poll that control hosts confirmed. Control hosts hold
+/// polls for 1 s, so that the last confirmed one was sent up to 2 s ago. It is below the time after which control hosts
+/// remove a silent relay (3 s), so that a relay that was removed no longer grants.
+pub const TENURE: Duration = Duration::from_millis(2_500);
+
+/// A relay whose poll is confirmed within this time after it sent the one confirmed before has been a member all the
+/// time, because control hosts remove it only after 3 s.
+const MAX_CONFIRM_GAP: Duration = Duration::from_millis(2_900);
 
 /// The longest lease of a grant.
 pub const MAX_LEASE: Duration = Duration::from_secs(1);
@@ -367,7 +372,7 @@
 impl Tenure {
     /// Records at `now` that a poll sent at `sent_at` has confirmed the configuration, and whether this relay is a member.
     pub fn confirm(&mut self, sent_at: Instant, is_member: bool, now: Instant) {
-        let is_unbroken = self.confirmed_at.is_some_and(|it| now < it + TENURE);
+        let is_unbroken = self.confirmed_at.is_some_and(|it| now < it + MAX_CONFIRM_GAP);
         let since = self.since.filter(|_| is_unbroken);
         self.since = is_member.then(|| since.unwrap_or(now));
         self.confirmed_at = Some(sent_at);
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod gather;
 mod leaving;
+mod quota;
 mod responses;
 mod single;
 mod split;
