policy: fair queuing by tenant in the wait queue

Missing: a tenant that sends much more than usual took the places of all others, because sub-requests of a priority waited in one order. Flows now take turns inside a class and priority (start-time fair queuing); a full queue drops the last sub-request of the flow that holds most. is_hopeless counted a range of the queue; ranks come from sorted chunks now, and other flows count with at most as many turns as the own flow. Without tenants the order, ranks and drops match one sorted list (property test).

--- a/examples/policy_cost.rs
+++ b/examples/policy_cost.rs
@@ -2,6 +2,7 @@
 //! Run with `cargo run --release --example policy_cost`.
 
 use std::{
+    collections::HashMap,
     hint::black_box,
     time::{Duration, Instant},
 };
@@ -14,6 +15,8 @@
         latency::LatencyWindow,
         pick::LoadTable,
         pin,
+        queue::{self, Flow, Queue},
+        quota::{Bound, Bucket, Grant, Limit},
     },
     state::{Change, Config, Group, Holding, Match, Node, Phase, Target, View},
     wire::owner::{Class, Hint},
@@ -24,6 +27,7 @@
 const REPLICAS: u32 = 3;
 const ENTRY_HOSTS: u32 = 11;
 const ITERATIONS: u32 = 2_000;
+const WAITING: usize = 10_000;
 
 fn main() {
     let config = config();
@@ -68,9 +72,50 @@
     bench("canary order, 2,580 targets", || {
         canary::target_order(1, view.targets().map(|(key, it)| (key, it.name.as_str())))
     });
+    quota_cost(now);
+    queue_cost(now);
     bench("entries, 11 hosts", || entries::addresses("janitor", view.nodes().map(|(_, it)| it)));
 }
 
+/// The quota of a request whose token is here, and of one at the relay that owns the bucket.
+fn quota_cost(now: Instant) {
+    let limit = Limit { rate: 1e9, burst: 1e9 };
+    let mut bucket = Bucket::new(limit, Bound::default(), now, now + Duration::from_secs(1));
+    let lot = bucket.grant(1, 1_000_000, 0, now + Duration::from_secs(1));
+    let mut grants = HashMap::from([("tenant".to_owned(), Grant::new(&lot, Instant::now()))]);
+    bench("quota, local token, with look-up and clock", || {
+        grants.get_mut("tenant").is_some_and(|it| it.take(Instant::now()))
+    });
+    bench("quota, own bucket", || bucket.take(now + Duration::from_secs(1)).is_ok());
+}
+
+/// Decisions with 10,000 sub-requests waiting, of one flow and of 75 flows.
+fn queue_cost(now: Instant) {
+    for flows in [1, 75, 10_000] {
+        let mut queue = Queue::bounded(WAITING);
+        let later = |i: usize| now + Duration::from_millis(60_000 + (i * 7_919 % WAITING) as u64);
+        let ticket = |queue: &mut Queue<usize>, i: usize| {
+            let flow = Flow::of_tenant(&format!("t{}", i * i % flows));
+            queue.ticket_of(flow, queue::Class::Needed, 1, later(i))
+        };
+        for i in 0..WAITING {
+            let ticket = ticket(&mut queue, i);
+            queue.push(ticket, i, now);
+        }
+        let mid =
+            queue.ticket_of(Flow::of_tenant("t1"), queue::Class::Needed, 1, later(WAITING / 2));
+        bench(&format!("is_first, 10,000 waiting, {flows} flows"), || queue.is_first(&mid));
+        bench(&format!("is_hopeless, 10,000 waiting, {flows} flows"), || {
+            queue.is_hopeless(&mid, now)
+        });
+        bench(&format!("pop and push, 10,000 waiting, {flows} flows"), || {
+            let i = queue.pop(now).unwrap_or_default();
+            let ticket = ticket(&mut queue, i);
+            queue.push(ticket, i, now);
+        });
+    }
+}
+
 /// Prints the mean time of a decision.
 fn bench<T>(name: &str, mut decide: impl FnMut() -> T) {
     let start = Instant::now();
--- a/src/relay/wait.rs
+++ b/src/relay/wait.rs
@@ -11,7 +11,7 @@
 use tokio::{sync::oneshot, time::timeout_at};
 
 use crate::{
-    policy::queue::{Bounds, Queue, Ticket},
+    policy::queue::{Bounds, Flow, Queue, Ticket},
     relay::{exchange::NotRunReason, host::Host, request::Query, target::Target, view::Service},
 };
 
@@ -67,6 +67,7 @@
         return Ok(target);
     }
     let priority = query.priority();
+    let flow = query.tenant().map_or_else(Flow::default, |it| Flow::of_tenant(&it.name));
     let bounds = bounds(query);
     let mut woken = false;
     loop {
@@ -82,9 +83,12 @@
             }
             return Err("busy");
         };
-        let ticket = service.queue.lock().ticket(class, priority, until);
+        let ticket = service.queue.lock().ticket_of(flow, class, priority, until);
         let has_turn = woken || service.queue.lock().is_first(&ticket);
         if has_turn && let Some(target) = pick() {
+            if !woken {
+                service.queue.lock().charge(&ticket);
+            }
             return Ok(target);
         }
         if !service.targets.iter().any(|it| it.is_usable() && query.allows(it)) {
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod canary;
 mod entries;
+mod fair_queue;
 mod latency;
 mod ownership;
 mod pick;
