--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,4 +13,5 @@
 pub mod pick;
 pub mod pin;
 pub mod queue;
+pub mod quota;
 pub mod rollout;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,10 +5,10 @@
 //! request, `buffer` on a response, `exchange`, `transmit`, `pool` and `peer` on a connection, `view` on a revision of
 //! the configuration, `admission`, `rollout`, `exposure` and `evidence` on a rollout, the others on the process.
 //!
-//! Locks of `parking_lot` are never held across an await. They nest in four places only: the builder's lock around
+//! Locks of `parking_lot` are never held across an await. They nest in five places only: the builder's lock around
 //! those of targets, budgets and rollouts, the lock of a target's statistics around that of its cold-start limiter, the
-//! lock of a rollout's old targets around those of their statistics, and the lock of known crashes around that of
-//! unreported ones.
+//! lock of a rollout's old targets around those of their statistics, the lock of known crashes around that of unreported
+//! ones, and in `quota` the lock of the holders around those of the members, the ledger and the report.
 
 mod admission;
 mod audit;
@@ -31,6 +31,7 @@
 mod metrics;
 mod peer;
 mod pool;
+mod quota;
 mod records;
 mod report;
 mod request;
--- a/src/relay/wait.rs
+++ b/src/relay/wait.rs
@@ -11,7 +11,7 @@
 use tokio::{sync::oneshot, time::timeout_at};
 
 use crate::{
-    policy::queue::{Bounds, Class, Queue, Ticket},
+    policy::queue::{Bounds, Class, Flow, Queue, Ticket},
     relay::{exchange::NotRunReason, host::Host, request::Query, target::Target, view::Service},
 };
 
@@ -73,6 +73,7 @@
         return Ok(target);
     }
     let priority = query.priority();
+    let flow = flow(query);
     let bounds = bounds(query);
     let mut woken = false;
     loop {
@@ -88,9 +89,12 @@
             }
             return Err("busy");
         };
-        let ticket = service.queue.lock().ticket(class, priority, until);
+        let ticket = service.queue.lock().ticket_of(flow, class, priority, until);
         let has_turn = woken || service.queue.lock().is_first(&ticket);
         if has_turn && let Some(target) = pick() {
+            if !woken {
+                service.queue.lock().charge(&ticket);
+            }
             return Ok(target);
         }
         if service.is_suspended(&host.freshness) {
@@ -123,6 +127,11 @@
     }
 }
 
+/// The share of the capacity in which the request waits.
+fn flow(query: &Query) -> Flow {
+    query.tenant().map_or_else(Flow::default, |it| Flow::of_tenant(&it.name))
+}
+
 /// How long a sub-request to this service that arrives now is predicted to wait, and for how long its response can still
 /// be complete in time. The wait is zero without a backlog.
 pub(super) fn prediction(query: &Query, service: &Service, now: Instant) -> (Duration, Duration) {
@@ -132,7 +141,7 @@
     let wait = if queue.len() < MIN_BACKLOG {
         Duration::ZERO
     } else {
-        let ticket = queue.ticket(class, query.priority(), latest);
+        let ticket = queue.ticket_of(flow(query), class, query.priority(), latest);
         queue.predicted_wait(&ticket)
     };
     (wait, latest.saturating_duration_since(now))
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -5,12 +5,14 @@
 mod budget;
 mod canary;
 mod entries;
+mod fair_queue;
 mod gather_load;
 mod latency;
 mod ownership;
 mod pick;
 mod pin;
 mod queue;
+mod quota;
 mod rollout;
 
 use std::net::SocketAddr;
