Tests: status lines of targets outside 200 to 599, failing

Missing: no test had targets answer with invalid status lines. Change: tests/relay/status_lines.rs, at real sockets: statuses 000, 099, 600, 999, 20, 2000, letters, none, 100, 101 and 199 with an at-most-once and an idempotent route, 999 at a delegated shard, and surplus bytes after 204, 304 and 200.

--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -13,6 +13,7 @@
 mod responses;
 mod single;
 mod split;
+mod status_lines;
 mod supervision;
 mod support;
 mod suspect;
