One account bounds the bytes that requests hold in a relay and at a control host's API

Seen: bodies that stop short of their end took a process with memoryMb = 64 to 78 to 193 MB, responses that callers do not read to 431 MB. Cause: each body was collected in memory without a time limit and without a bound over all; one-byte chunks cost an object each; responses were held until callers took them; hyper's read buffers in axum grow to 400 KiB. Change: src/memory.rs counts bodies, delegated messages and responses above 8 KiB. Over 15% of memoryMb, the newest unfinished body of the caller that holds most is refused (503), or its oldest untaken response is cut off; complete requests are never chosen. Chunks are copied into one buffer that grows as bytes arrive. A body has 15 ticks of 1 s and must grow by 5 KiB in each 5 (408). A write without progress ends after 10 s. Targets' responses that are being received have their own bound of another 15%, at most 32 MiB. Requests with bodies and responses up to 8 KiB do not touch the account. HttpStream reads at most 4 KiB at once and writes vectored.

--- a/src/inbound.rs
+++ b/src/inbound.rs
@@ -1,7 +1,9 @@
 //! Bounds the connections that others open to this process, so that descriptors are left for those that it opens itself:
 //! a relay that cannot connect to a control host serves an old configuration.
 
+mod body;
 mod http;
+mod write;
 
 use std::{
     io,
@@ -20,7 +22,9 @@
 
 use crate::descriptors::RESERVE;
 
-pub use http::{HttpListener, HttpStream};
+pub use body::{Bound, receive};
+pub use http::{HttpListener, HttpStream, Peer};
+pub use write::WriteLimit;
 
 /// Minimum time between two lines that tell the same.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
--- a/src/inbound/http.rs
+++ b/src/inbound/http.rs
@@ -2,18 +2,19 @@
 
 use std::{
     future::Future,
-    io,
-    net::SocketAddr,
+    io::{self, IoSlice},
+    net::{IpAddr, SocketAddr},
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
     time::{Duration, Instant},
 };
 
+use axum::{extract::connect_info::Connected, serve::IncomingStream};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
-    sync::futures::OwnedNotified,
+    sync::{Notify, futures::OwnedNotified},
     time::{Sleep, sleep},
 };
 
@@ -23,6 +24,24 @@
 /// two, and no request takes as long.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The most that is read at once, in bytes. It is below the first size of hyper's read buffers, which grow to 400 KiB when a
+/// read fills them, and stay as large while the connection is idle.
+const READ_BYTES: usize = 4 << 10;
+
+/// The other end of a connection.
+#[derive(Clone)]
+pub struct Peer {
+    pub(super) ip: IpAddr,
+    /// Notified when the connection must be closed to release memory.
+    pub(super) evicted: Arc<Notify>,
+}
+
+impl Connected<IncomingStream<'_, HttpListener>> for Peer {
+    fn connect_info(stream: IncomingStream<'_, HttpListener>) -> Self {
+        Self { ip: stream.remote_addr().ip(), evicted: stream.io().evicted.clone() }
+    }
+}
+
 /// Accepts a bounded number of connections.
 pub struct HttpListener {
     inner: Listener,
@@ -60,6 +79,8 @@
     stream: TcpStream,
     idle: Pin<Box<Sleep>>,
     close: Pin<Box<OwnedNotified>>,
+    evicted: Arc<Notify>,
+    evict: Pin<Box<OwnedNotified>>,
     slot: Slot,
     /// Whether a request has arrived, in whole or in part, that has no response yet.
     is_busy: bool,
@@ -72,7 +93,19 @@
 impl HttpStream {
     fn new(stream: TcpStream, slot: Slot) -> Self {
         let (idle, close) = (Box::pin(sleep(IDLE_TIMEOUT)), Box::pin(slot.close_signal()));
-        Self { stream, idle, close, slot, is_busy: false, has_written: false, is_closing: false }
+        let evicted = Arc::<Notify>::default();
+        let evict = Box::pin(evicted.clone().notified_owned());
+        Self {
+            stream,
+            idle,
+            close,
+            evicted,
+            evict,
+            slot,
+            is_busy: false,
+            has_written: false,
+            is_closing: false,
+        }
     }
 
     fn set_busy(&mut self, is_busy: bool) {
@@ -80,6 +113,23 @@
         self.slot.set_busy(is_busy);
     }
 
+    /// Passes on the result of a write, or fails if it waits for too long or must release its memory.
+    fn limit(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.has_written = true;
+            self.restart_idle();
+            return written;
+        }
+        if self.evict.as_mut().poll(cx).is_pending() {
+            ready!(self.idle.as_mut().poll(cx));
+        }
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
     fn restart_idle(&mut self) {
         self.idle.as_mut().reset(tokio::time::Instant::now() + IDLE_TIMEOUT);
     }
@@ -91,9 +141,11 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        if let Poll::Ready(result) = Pin::new(&mut self.stream).poll_read(cx, buf) {
-            if buf.filled().len() > before {
+        let mut bytes = [0; READ_BYTES];
+        let mut part = ReadBuf::new(&mut bytes[..READ_BYTES.min(buf.remaining())]);
+        if let Poll::Ready(result) = Pin::new(&mut self.stream).poll_read(cx, &mut part) {
+            buf.put_slice(part.filled());
+            if !part.filled().is_empty() {
                 self.set_busy(true);
                 self.restart_idle();
             }
@@ -116,13 +168,22 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(result) = Pin::new(&mut self.stream).poll_write(cx, buf) {
-            self.has_written = true;
-            self.restart_idle();
-            return Poll::Ready(result);
-        }
-        ready!(self.idle.as_mut().poll(cx));
-        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.limit(cx, written)
+    }
+
+    /// Without it, hyper would copy each response, and the account would not see how long it is held.
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.limit(cx, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod inbound;
 pub mod lab;
 pub mod lease;
+pub mod memory;
 pub mod metric;
 pub mod owner;
 pub mod peer;
--- a/src/relay/buffer.rs
+++ b/src/relay/buffer.rs
@@ -18,18 +18,31 @@
 /// in bytes.
 const MIN_COMPACTION_BYTES: usize = 16 << 10;
 
-/// All responses together may buffer this much, in bytes. Beyond it those that hold more than an equal share fail, so
+/// All responses together may buffer this much, in bytes, and less on a machine with little memory. Beyond it those that hold more than an equal share fail, so
 /// that targets that send without end do not use up the memory for the responses of others.
 pub const MAX_BUFFERED_BYTES: usize = 32 << 20;
 
 /// The buffered bytes of all responses of a process.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Buffers {
+    max_bytes: usize,
     bytes: AtomicUsize,
     responses: AtomicUsize,
 }
 
+impl Default for Buffers {
+    fn default() -> Self {
+        Self::new(MAX_BUFFERED_BYTES)
+    }
+}
+
 impl Buffers {
+    /// At most `max_bytes`, and at most [`MAX_BUFFERED_BYTES`].
+    pub fn new(max_bytes: usize) -> Self {
+        let max_bytes = max_bytes.min(MAX_BUFFERED_BYTES);
+        Self { max_bytes, bytes: AtomicUsize::new(0), responses: AtomicUsize::new(0) }
+    }
+
     /// The bytes that are buffered now.
     pub fn bytes(&self) -> usize {
         self.bytes.load(Ordering::Relaxed)
@@ -37,8 +50,8 @@
 
     /// Whether a response that holds `own` bytes may hold them.
     fn allows(&self, own: usize) -> bool {
-        let share = MAX_BUFFERED_BYTES / self.responses.load(Ordering::Relaxed).max(1);
-        own <= share || self.bytes() <= MAX_BUFFERED_BYTES
+        let share = self.max_bytes / self.responses.load(Ordering::Relaxed).max(1);
+        own <= share || self.bytes() <= self.max_bytes
     }
 }
 
--- a/src/relay/delegate.rs
+++ b/src/relay/delegate.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io,
+    net::IpAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -35,23 +36,23 @@
 pub(super) async fn serve(host: Arc<Host>, listener: TcpListener) {
     let mut listener = Listener::new(listener);
     loop {
-        let (stream, _) = listener.accept().await;
+        let (stream, addr) = listener.accept().await;
         let host = host.clone();
         tokio::spawn(async move {
-            if let Err(err) = serve_connection(&host, stream).await {
+            if let Err(err) = serve_connection(&host, stream, addr.ip()).await {
                 log::debug!("event=peer_closed cause={err:?}");
             }
         });
     }
 }
 
-async fn serve_connection(host: &Arc<Host>, stream: TcpStream) -> io::Result<()> {
+async fn serve_connection(host: &Arc<Host>, stream: TcpStream, sender: IpAddr) -> io::Result<()> {
     let mut conn = PeerConnection::new(stream)?;
     loop {
         match timeout(IDLE_TIMEOUT, conn.receive()).await?? {
             Message::Ping => conn.send(&Reply::Accepted).await?,
             Message::Detach => return Ok(()),
-            Message::Delegate(it) => match accept_delegation(host, *it) {
+            Message::Delegate(it) => match accept_delegation(host, *it, sender) {
                 Ok((query, keys, top)) => run_shards(host, &mut conn, &query, &keys, top).await?,
                 Err(cause) => {
                     log::info!("event=delegation_refused cause={cause}");
@@ -67,6 +68,7 @@
 fn accept_delegation(
     host: &Host,
     delegation: Delegation,
+    sender: IpAddr,
 ) -> Result<(Arc<Query>, Vec<ServiceKey>, usize), &'static str> {
     let arrived = Instant::now();
     let view = host.view();
@@ -83,14 +85,8 @@
         request = request.header(name.as_str(), value.as_slice());
     }
     let (head, ()) = request.body(()).map_err(|_| "bad_request")?.into_parts();
-    let mut query = Query::resolve(
-        host,
-        view,
-        CallerConnection::Reused,
-        head,
-        delegation.body.into(),
-        arrived,
-    )?;
+    let body = host.memory.hold_message(sender, delegation.body).ok_or("memory_short")?;
+    let mut query = Query::resolve(host, view, CallerConnection::Reused, head, body, arrived)?;
     query.soft_deadline = arrived + Duration::from_micros(delegation.partial_after_us);
     let To::Shards(shards) = &query.route().config.to else { return Err("no_shards") };
     let top = shards.top;
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -18,6 +18,7 @@
 use crate::{
     event::{Event, Kind, Ring, unix_ms},
     inbound::Connections,
+    memory::{self, Account},
     metric,
     relay::{
         buffer::Buffers, builder::Builder, freshness::Freshness, metrics::Metrics, peer::Peers,
@@ -62,6 +63,8 @@
     pub(super) callers: Arc<Connections>,
     /// Connections to the other relays.
     pub(super) peers: Peers,
+    /// What requests hold: bodies, delegated messages, and responses that callers have not taken.
+    pub(super) memory: Arc<Account>,
     /// Bodies of responses that are being received.
     pub(super) buffers: Buffers,
     /// Requests that crashed targets.
@@ -93,6 +96,7 @@
         let cfg = Arc::new(cfg);
         let registry = metric::Registry::default();
         let retired = Arc::<Retired>::default();
+        let max_held = memory::account_bytes(cfg.memory_mb);
         Self {
             incarnation: unix_ms(),
             events: Ring::new(cfg.name.clone()),
@@ -102,7 +106,8 @@
             stop_accepting: Notify::new(),
             callers: Arc::new(Connections::new("callers", cfg.max_callers())),
             peers: Peers::default(),
-            buffers: Buffers::default(),
+            memory: Arc::new(Account::new(max_held, &registry)),
+            buffers: Buffers::new(max_held),
             suspects: Suspects::default(),
             reports: report::Queue::default(),
             registry,
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    net::IpAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -10,21 +11,24 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
-    Request, Response, StatusCode,
+    Request, Response,
     body::{Body, Incoming},
+    header::{CONNECTION, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
+    sync::Notify,
     time::timeout,
 };
 
 use crate::{
-    inbound::{Listener, Slot},
+    inbound::{Listener, Slot, WriteLimit},
+    memory::{self, Refusal, SMALL_BYTES},
     relay::{
         host::Host,
         request::{self, CallerConnection},
@@ -47,28 +51,28 @@
 pub(super) async fn serve(host: Arc<Host>, listener: TcpListener) {
     let mut listener = Listener::new(listener);
     loop {
-        let stream = tokio::select! {
-            (stream, _) = listener.accept() => stream,
+        let (stream, addr) = tokio::select! {
+            accepted = listener.accept() => accepted,
             () = host.stop_accepting.notified() => break,
         };
-        start_connection(&host, stream);
+        start_connection(&host, stream, addr.ip());
     }
     let end = Instant::now() + BACKLOG_MAX;
     while Instant::now() < end
-        && let Ok((stream, _)) = timeout(BACKLOG_EMPTY_AFTER, listener.accept()).await
+        && let Ok((stream, addr)) = timeout(BACKLOG_EMPTY_AFTER, listener.accept()).await
     {
-        start_connection(&host, stream);
+        start_connection(&host, stream, addr.ip());
     }
 }
 
 /// Serves a connection, or closes it if there are too many.
-fn start_connection(host: &Arc<Host>, stream: TcpStream) {
+fn start_connection(host: &Arc<Host>, stream: TcpStream, caller: IpAddr) {
     if let Some(slot) = host.callers.admit(Instant::now()) {
-        tokio::spawn(serve_connection(host.clone(), slot, stream));
+        tokio::spawn(serve_connection(host.clone(), slot, stream, caller));
     }
 }
 
-async fn serve_connection(host: Arc<Host>, slot: Slot, stream: TcpStream) {
+async fn serve_connection(host: Arc<Host>, slot: Slot, stream: TcpStream, caller: IpAddr) {
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("event=connection_ended cause={err:?}");
         return;
@@ -90,11 +94,13 @@
     let _guard = host.track_connection();
     let buffer = usize::try_from(limits.header_bytes).unwrap_or(usize::MAX).max(MIN_BUFFER_BYTES);
     let used = AtomicBool::new(false);
+    let evicted = Arc::<Notify>::default();
     let service = service_fn(|request| {
         let reused = used.swap(true, Ordering::Relaxed);
         handle(
             &host,
             &slot,
+            Caller { ip: caller, evicted: &evicted },
             if reused { CallerConnection::Reused } else { CallerConnection::New },
             request,
         )
@@ -103,7 +109,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(buffer)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(WriteLimit::new(stream)), service);
     tokio::pin!(conn);
     let shutdown = host.close_connections.notified();
     tokio::pin!(shutdown);
@@ -111,6 +117,8 @@
         // Reads first: a connection on which a request has arrived is not idle.
         biased;
         result = conn.as_mut() => Some(result),
+        // The caller does not take its response, and the memory is short.
+        () = evicted.notified() => return,
         () = &mut shutdown => None,
         () = slot.close_requested() => None,
     };
@@ -118,7 +126,10 @@
         Some(result) => result,
         None => {
             conn.as_mut().graceful_shutdown();
-            conn.await
+            tokio::select! {
+                result = conn.as_mut() => result,
+                () = evicted.notified() => return,
+            }
         }
     };
     if let Err(err) = result {
@@ -126,30 +137,54 @@
     }
 }
 
+/// The caller at the other end of a connection.
+#[derive(Clone, Copy)]
+struct Caller<'a> {
+    ip: IpAddr,
+    /// Notified when the connection must be closed to release memory.
+    evicted: &'a Arc<Notify>,
+}
+
 async fn handle(
     host: &Arc<Host>,
     slot: &Slot,
+    caller: Caller<'_>,
     connection: CallerConnection,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let _guard = (slot.start_request(), host.track_request());
     let (head, body) = request.into_parts();
     let limit = usize::try_from(host.view().table.limits.body_bytes).unwrap_or(usize::MAX);
-    if body.is_end_stream() {
-        return Ok(request::handle(host, connection, head, Bytes::new()).await);
-    }
-    let body = match Limited::new(body, limit).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(err) => {
-            let too_long = err.downcast_ref::<LengthLimitError>().is_some();
-            let (status, cause) = if too_long {
-                (StatusCode::PAYLOAD_TOO_LARGE, "body_too_long")
-            } else {
-                (StatusCode::BAD_REQUEST, "body_incomplete")
-            };
-            log::info!("event=refused status={} cause={cause}", status.as_u16());
-            return Ok(response::text(status, cause, Duration::ZERO));
+    let body = if body.is_end_stream() {
+        Bytes::new()
+    } else {
+        match memory::collect(&host.memory, caller.ip, body, limit).await {
+            Ok(body) => body,
+            Err(refusal) => return Ok(refuse(refusal)),
         }
     };
-    Ok(request::handle(host, connection, head, body).await)
+    let response = request::handle(host, connection, head, body).await;
+    Ok(hold(host, caller, response).await)
+}
+
+/// Builds the response to a request whose body is refused. The rest of the body is not read.
+fn refuse(refusal: Refusal) -> Response<Full<Bytes>> {
+    let mut response = response::text(refusal.status(), refusal.into(), memory::RETRY_AFTER);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+/// Counts a long response until the caller has taken it.
+async fn hold(
+    host: &Host,
+    caller: Caller<'_>,
+    response: Response<Full<Bytes>>,
+) -> Response<Full<Bytes>> {
+    if response.body().size_hint().lower() <= SMALL_BYTES as u64 {
+        return response;
+    }
+    let (head, body) = response.into_parts();
+    let Ok(body) = body.collect().await;
+    let body = host.memory.hold_response(caller.ip, body.to_bytes(), caller.evicted);
+    Response::from_parts(head, Full::new(body))
 }
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -70,6 +70,8 @@
     pub grace_period: Duration,
     /// The number of descriptors that the process may have open, if the operating system has no lower limit.
     pub max_descriptors: u64,
+    /// The memory of the machine, in MB.
+    pub memory_mb: u64,
 }
 
 impl Settings {
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -514,6 +514,7 @@
         max_config_age: relay::DEFAULT_MAX_CONFIG_AGE,
         grace_period: Duration::from_secs(2),
         max_descriptors: relay::DEFAULT_MAX_DESCRIPTORS,
+        memory_mb: gentianpass::memory::DEFAULT_MEMORY_MB,
     }
 }
 
