--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,6 +1,7 @@
 //! One HTTP exchange with one target, from taking a connection to the complete response.
 
 use std::{
+    ops::RangeInclusive,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -47,6 +48,9 @@
 /// An exchange with a target that may get no new sub-requests is logged if it ends later than this.
 const LATE_EXCHANGE: Duration = Duration::from_secs(1);
 
+/// Statuses of a final response. Any other one says nothing that could be trusted, not even that the request did not run.
+const VALID_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// A connection is silent if no response header arrived for this many times the route's late threshold, and for at
 /// least the minimum. The target is then avoided and its connections are not reused, but the exchange keeps waiting.
 const SILENCE_FACTOR: u32 = 4;
@@ -392,15 +396,16 @@
 
 /// What a complete response to this request means.
 fn classify(names: &Headers, target: &Target, head: response::Parts, body: Bytes) -> Outcome {
+    if !VALID_STATUSES.contains(&head.status.as_u16()) {
+        return Outcome::Unknown(UnknownReason::BadAnswer);
+    }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return Outcome::NotRun(NotRunReason::WrongProcess);
     }
     if head.headers.contains_key(&names.not_run) {
         return Outcome::NotRun(NotRunReason::Shed);
     }
-    if head.status.is_informational()
-        || head.status.is_success() && !head.headers.contains_key(&names.signature)
-    {
+    if head.status.is_success() && !head.headers.contains_key(&names.signature) {
         return Outcome::Unknown(UnknownReason::BadAnswer);
     }
     let leaving = says_leaving(names, &head.headers).then(|| target.process());
