--- a/src/relay/delegate.rs
+++ b/src/relay/delegate.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io,
+    net::IpAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -36,26 +37,26 @@
 pub(super) async fn serve(host: Arc<Host>, listener: TcpListener) {
     let mut listener = Listener::new(listener);
     loop {
-        let (stream, _) = listener.accept().await;
+        let (stream, addr) = listener.accept().await;
         let host = host.clone();
         tokio::spawn(async move {
-            if let Err(err) = serve_connection(&host, stream).await {
+            if let Err(err) = serve_connection(&host, stream, addr.ip()).await {
                 log::debug!("event=peer_closed cause={err:?}");
             }
         });
     }
 }
 
-async fn serve_connection(host: &Arc<Host>, stream: TcpStream) -> io::Result<()> {
+async fn serve_connection(host: &Arc<Host>, stream: TcpStream, peer: IpAddr) -> io::Result<()> {
     let mut conn = PeerConnection::new(stream)?;
     loop {
         match timeout(IDLE_TIMEOUT, conn.receive()).await?? {
             Message::Ping => conn.send(&Reply::Accepted).await?,
             Message::Detach => return Ok(()),
             Message::Quota(it) => conn.send(&Reply::Quota(host.quotas.serve(host, &it))).await?,
-            Message::Delegate(it) => run_delegation(host, &mut conn, *it, None).await?,
+            Message::Delegate(it) => run_delegation(host, &mut conn, *it, peer, None).await?,
             Message::DelegateFor(sender, it) => {
-                run_delegation(host, &mut conn, *it, Some(&sender)).await?;
+                run_delegation(host, &mut conn, *it, peer, Some(&sender)).await?;
             }
         }
     }
@@ -65,9 +66,10 @@
     host: &Arc<Host>,
     conn: &mut PeerConnection,
     delegation: Delegation,
+    peer: IpAddr,
     sender: Option<&Sender>,
 ) -> io::Result<()> {
-    match accept_delegation(host, delegation, sender) {
+    match accept_delegation(host, delegation, peer, sender) {
         Ok((query, keys, top)) => run_shards(host, conn, &query, &keys, top).await,
         Err(cause) => {
             log::info!("event=delegation_refused cause={cause}");
@@ -81,6 +83,7 @@
 fn accept_delegation(
     host: &Host,
     delegation: Delegation,
+    peer: IpAddr,
     sender: Option<&Sender>,
 ) -> Result<(Arc<Query>, Vec<ServiceKey>, usize), &'static str> {
     let arrived = Instant::now();
@@ -98,12 +101,13 @@
         request = request.header(name.as_str(), value.as_slice());
     }
     let (head, ()) = request.body(()).map_err(|_| "bad_request")?.into_parts();
+    let body = host.memory.hold_message(peer, delegation.body).ok_or("memory_short")?;
     let mut query = Query::resolve(
         host,
         view,
         CallerConnection::Reused,
         head,
-        delegation.body.into(),
+        body,
         arrived,
         &Origin::Relay(sender),
     )
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -18,6 +18,7 @@
 use crate::{
     event::{Event, Kind, Ring, unix_ms},
     inbound::Connections,
+    memory::{self, Account},
     metric,
     relay::{
         buffer::Buffers, builder::Builder, freshness::Freshness, metrics::Metrics, peer::Peers,
@@ -65,6 +66,8 @@
     pub(super) peers: Peers,
     /// Quotas of tenants: what this relay holds and what it grants.
     pub(super) quotas: Quotas,
+    /// What requests hold: bodies, delegated messages, and responses that callers have not taken.
+    pub(super) memory: Arc<Account>,
     /// Bodies of responses that are being received.
     pub(super) buffers: Buffers,
     /// Requests that crashed targets.
@@ -100,6 +103,7 @@
         let retired = Arc::<Retired>::default();
         let metrics = Metrics::new(&registry);
         let rollouts = Arc::new(Rollouts::new(metrics.rollout_requests.clone()));
+        let max_held = memory::account_bytes(cfg.memory_mb);
         Self {
             incarnation: unix_ms(),
             events: Ring::new(cfg.name.clone()),
@@ -110,7 +114,8 @@
             callers: Arc::new(Connections::new("callers", cfg.max_callers())),
             peers: Peers::default(),
             quotas: Quotas::new(&cfg, &registry),
-            buffers: Buffers::default(),
+            memory: Arc::new(Account::new(max_held, &registry)),
+            buffers: Buffers::new(max_held),
             suspects: Suspects::default(),
             reports: report::Queue::default(),
             registry,
--- a/src/relay/transmit.rs
+++ b/src/relay/transmit.rs
@@ -1,6 +1,9 @@
 //! The messages of an exchange: takes a connection, sends the request and reads the response.
 
-use std::time::{Duration, Instant};
+use std::{
+    ops::RangeInclusive,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -30,6 +33,9 @@
 /// Longest pause that a target is granted, so that a faulty value does not take it out of service for good.
 const MAX_PAUSE: Duration = Duration::from_secs(3_600);
 
+/// Statuses of a final response. Any other one says nothing that could be trusted, not even that the request did not run.
+const VALID_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// A connection is silent if no response header arrived for this many times the route's late threshold, and for at
 /// least the minimum. The target is then avoided and its connections are not reused, but the exchange keeps waiting.
 const SILENCE_FACTOR: u32 = 4;
@@ -197,15 +203,16 @@
 
 /// What a complete response to this request means.
 fn classify(names: &Headers, target: &Target, head: response::Parts, body: Bytes) -> Outcome {
+    if !VALID_STATUSES.contains(&head.status.as_u16()) {
+        return Outcome::Unknown(UnknownReason::BadAnswer);
+    }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return Outcome::NotRun(NotRunReason::WrongProcess);
     }
     if head.headers.contains_key(&names.not_run) {
         return Outcome::NotRun(NotRunReason::Shed);
     }
-    if head.status.is_informational()
-        || head.status.is_success() && !head.headers.contains_key(&names.signature)
-    {
+    if head.status.is_success() && !head.headers.contains_key(&names.signature) {
         return Outcome::Unknown(UnknownReason::BadAnswer);
     }
     let leaving = says_leaving(names, &head.headers).then(|| target.process());
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -16,6 +16,7 @@
 mod rollout;
 mod single;
 mod split;
+mod status_lines;
 mod supervision;
 mod support;
 mod suspect;
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -570,6 +570,7 @@
         grace_period: Duration::from_secs(2),
         max_descriptors: relay::DEFAULT_MAX_DESCRIPTORS,
         rollouts: false,
+        memory_mb: gentianpass::memory::DEFAULT_MEMORY_MB,
     }
 }
 
