cmd: gentianpass rollout start and status

Missing: operators could neither start a rollout nor see why it is at its stage. Change: Edit::StartRollout, State::rollouts (left out of the JSON while empty), the subcommand.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 pub mod group;
 pub mod label;
 mod output;
+pub mod rollout;
 pub mod selector;
 pub mod status;
 pub mod zone;
@@ -64,6 +65,7 @@
   gentianpass label set kind/label-search class=quick  Give a request kind priority over broad ones
   gentianpass group set label-designer --index labels --match service=label-designer
   gentianpass selector set designers --group label-designer --kind label-search --caller team=design
+  gentianpass rollout start label-search 4.2 --duration 10m
   gentianpass explain --zone tayside-a --since 10m     What happened in a zone, and why";
 
 #[derive(Debug, Subcommand)]
@@ -73,6 +75,7 @@
     Group(group::Args),
     Selector(selector::Args),
     Zone(zone::Args),
+    Rollout(rollout::Args),
     Explain(explain::Args),
 }
 
@@ -86,6 +89,7 @@
         Command::Group(args) => group::run(&mut ctx, args).await,
         Command::Selector(args) => selector::run(&mut ctx, args).await,
         Command::Zone(args) => zone::run(&mut ctx, args).await,
+        Command::Rollout(args) => rollout::run(&mut ctx, args).await,
         Command::Explain(args) => explain::run(&mut ctx, args).await,
     }
 }
--- a/src/wire/operator.rs
+++ b/src/wire/operator.rs
@@ -6,7 +6,10 @@
 
 use crate::{
     error::Kind,
-    state::{Change, Config, Group, Labels, Node, Object, Revision, Selector, Suspect, Target},
+    state::{
+        Change, Config, Group, Labels, Node, Object, Revision, Rollout, Selector, Suspect, Target,
+        rollout::Start,
+    },
 };
 
 /// A change to the configuration that an operator may request.
@@ -43,6 +46,8 @@
         /// The name of the selector.
         name: String,
     },
+    /// Starts a rollout.
+    StartRollout(Start),
 }
 
 impl From<Edit> for Change {
@@ -54,6 +59,7 @@
             Edit::RemoveGroup { name } => Self::RemoveGroup { name },
             Edit::PutSelector(selector) => Self::PutSelector(selector),
             Edit::RemoveSelector { name } => Self::RemoveSelector { name },
+            Edit::StartRollout(start) => Self::StartRollout(start),
         }
     }
 }
@@ -107,6 +113,9 @@
     pub suspects: Vec<SuspectState>,
     /// The control hosts.
     pub members: Vec<Member>,
+    /// The last rollout of each service that had one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<Rollout>,
 }
 
 impl State {
@@ -126,6 +135,7 @@
             versions: version_states(config),
             suspects: suspect_states(config),
             members,
+            rollouts: config.rollouts.values().cloned().collect(),
         }
     }
 }
--- a/tests/cmd/main.rs
+++ b/tests/cmd/main.rs
@@ -6,6 +6,7 @@
 mod group;
 mod label;
 mod process;
+mod rollout;
 mod selector;
 mod status;
 mod zone;
--- a/tests/policy/rollout.rs
+++ b/tests/policy/rollout.rs
@@ -21,6 +21,9 @@
     slow: f64,
 }
 
+/// Both sides, the old one first, at a time in seconds.
+type Sides = fn(u64) -> (Side, Side);
+
 const GOOD: Side = Side { failing: 0.005, slow: 0.0 };
 
 /// Records answers, with the pauses of one shard.
@@ -54,7 +57,7 @@
 /// Guards against the roll-back of a good version: pauses of a shard, lost answers, a failing old target.
 #[test]
 fn judge_good_versions() {
-    let cases: [(&str, fn(u64) -> (Side, Side)); 3] = [
+    let cases: [(&str, Sides); 3] = [
         ("pauses", |_| (GOOD, GOOD)),
         ("lost answers", |_| (Side { failing: 0.03, ..GOOD }, Side { failing: 0.03, ..GOOD })),
         ("failing old target", |_| (Side { failing: 0.3, ..GOOD }, GOOD)),
@@ -70,7 +73,7 @@
 /// among few answers. The bound is the time of the 50th bad answer and 4 s.
 #[test]
 fn judge_bad_versions() {
-    let cases: [(&str, u64, f64, fn(u64) -> (Side, Side)); 5] = [
+    let cases: [(&str, u64, f64, Sides); 5] = [
         ("all fail", 0, 1.0, |_| (GOOD, Side { failing: 1.0, ..GOOD })),
         ("some fail", 0, 0.2, |_| (GOOD, Side { failing: 0.2, ..GOOD })),
         ("all slow", 0, 1.0, |_| (GOOD, Side { slow: 1.0, ..GOOD })),
