Rollouts: a leader that was frozen forgets its evidence

Seen by reading: after a freeze every relay counts as silent, so that a thawed leader would propose to complete a rollout. Change: the evidence is forgotten with the liveness of processes after a stall of the consensus thread. Measured: tests/control rollout, polls, standing and failures::leader_killed: 17 passed. The freeze itself has no test.

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -302,13 +302,14 @@
         self.last_timestamp_ms
     }
 
-    /// Restarts the expiry of all processes after this thread stalled for longer than the minimum election timeout:
+    /// Restarts the expiry of all processes, and the evidence about rollouts, after this thread stalled for longer than the minimum election timeout:
     /// their heartbeats may still be queued, so the time without one says nothing.
     fn reset_liveness_after_stall(&mut self) {
         let now_ms = self.now_ms();
         if now_ms > self.last_loop_ms + self.host.cfg.election_ms {
             self.node_liveness.reset();
             self.target_liveness.reset();
+            self.rollouts.forget_evidence(now_ms);
         }
         self.last_loop_ms = now_ms;
     }
--- a/src/wire/control.rs
+++ b/src/wire/control.rs
@@ -157,7 +157,7 @@
     pub reporter: ProcessId,
     /// The revision of the configuration by which it chooses targets.
     pub revision: Revision,
-    /// The running rollouts that it follows.
+    /// All rollouts that run at this revision: for one that is missing, nothing is in flight at the old version.
     pub observations: Vec<Observation>,
 }
 
