--- a/examples/policy_cost.rs
+++ b/examples/policy_cost.rs
@@ -89,31 +89,34 @@
     bench("quota, own bucket", || bucket.take(now + Duration::from_secs(1)).is_ok());
 }
 
-/// Decisions with 10,000 sub-requests waiting, of one flow and of 75 flows.
+/// Decisions with 10,000 sub-requests waiting, of flows of one size, and of 141 flows of all sizes from 1 on.
 fn queue_cost(now: Instant) {
-    for flows in [1, 75, 10_000] {
-        let mut queue = Queue::bounded(WAITING);
-        let later = |i: usize| now + Duration::from_millis(60_000 + (i * 7_919 % WAITING) as u64);
-        let ticket = |queue: &mut Queue<usize>, i: usize| {
-            let flow = Flow::of_tenant(&format!("t{}", i * i % flows));
-            queue.ticket_of(flow, queue::Class::Needed, 1, later(i))
-        };
-        for i in 0..WAITING {
-            let ticket = ticket(&mut queue, i);
-            queue.push(ticket, i, now);
-        }
-        let mid =
-            queue.ticket_of(Flow::of_tenant("t1"), queue::Class::Needed, 1, later(WAITING / 2));
-        bench(&format!("is_first, 10,000 waiting, {flows} flows"), || queue.is_first(&mid));
-        bench(&format!("is_hopeless, 10,000 waiting, {flows} flows"), || {
-            queue.is_hopeless(&mid, now)
-        });
-        bench(&format!("pop and push, 10,000 waiting, {flows} flows"), || {
-            let i = queue.pop(now).unwrap_or_default();
-            let ticket = ticket(&mut queue, i);
-            queue.push(ticket, i, now);
-        });
+    let same_size = |flows: usize| move |i: usize| i % flows;
+    queue_cost_of(now, "1 flow", same_size(1));
+    queue_cost_of(now, "75 flows", same_size(75));
+    queue_cost_of(now, "10,000 flows", same_size(WAITING));
+    queue_cost_of(now, "141 flows of all sizes", |i| (2 * i).isqrt());
+}
+
+fn queue_cost_of(now: Instant, flows: &str, flow: impl Fn(usize) -> usize) {
+    let mut queue = Queue::bounded(WAITING);
+    let later = |i: usize| now + Duration::from_millis(60_000 + (i * 7_919 % WAITING) as u64);
+    let ticket = |queue: &mut Queue<usize>, i: usize| {
+        let flow = Flow::of_tenant(&format!("t{}", flow(i)));
+        queue.ticket_of(flow, queue::Class::Needed, 1, later(i))
+    };
+    for i in 0..WAITING {
+        let ticket = ticket(&mut queue, i);
+        queue.push(ticket, i, now);
     }
+    let mid = queue.ticket_of(Flow::of_tenant("t1"), queue::Class::Needed, 1, later(WAITING / 2));
+    bench(&format!("is_first, 10,000 waiting, {flows}"), || queue.is_first(&mid));
+    bench(&format!("is_hopeless, 10,000 waiting, {flows}"), || queue.is_hopeless(&mid, now));
+    bench(&format!("pop and push, 10,000 waiting, {flows}"), || {
+        let i = queue.pop(now).unwrap_or_default();
+        let ticket = ticket(&mut queue, i);
+        queue.push(ticket, i, now);
+    });
 }
 
 /// Prints the mean time of a decision.
