Quotas: a relay that starts again grants at once if it was never removed

Seen by reading: after all relays had started together, no relay granted for 2.5 s, so that tenants with a limit got 503. Cause: each process waited for the tenure of an owner before it. A process whose first confirmed configuration lists an earlier process of its relay was never removed, so that no other relay has taken over its roles; it does not wait. Its buckets start empty, as those of any new owner.

--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -360,27 +360,46 @@
     }
 }
 
+/// How a relay is known to a configuration that control hosts have confirmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Membership {
+    /// It is not listed.
+    None,
+    /// An earlier process of it is listed.
+    Earlier,
+    /// This process of it is listed.
+    Current,
+}
+
 /// Since when a relay has been a confirmed member of the configuration without interruption. A relay grants only while
 /// its tenure holds, so that no two relays grant as owner of the same tenant although their configurations differ: a
-/// relay that joins waits for [`TENURE`], and one with an older configuration has stopped by then.
+/// relay that joins waits for [`TENURE`], and one with an older configuration has stopped by then. A process whose first
+/// configuration lists an earlier process of its relay does not wait: the relay was never removed, so that no other one
+/// has taken over its roles.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tenure {
-    since: Option<Instant>,
+    start: Option<Instant>,
     confirmed_at: Option<Instant>,
+    was_never_removed: bool,
 }
 
 impl Tenure {
     /// Records at `now` that a poll sent at `sent_at` has confirmed the configuration, and whether this relay is a member.
-    pub fn confirm(&mut self, sent_at: Instant, is_member: bool, now: Instant) {
+    pub fn confirm(&mut self, sent_at: Instant, membership: Membership, now: Instant) {
         let is_unbroken = self.confirmed_at.is_some_and(|it| now < it + MAX_CONFIRM_GAP);
-        let since = self.since.filter(|_| is_unbroken);
-        self.since = is_member.then(|| since.unwrap_or(now));
+        let is_first = self.confirmed_at.is_none();
+        let is_listed = membership != Membership::None;
+        self.was_never_removed = is_listed && (is_first || is_unbroken && self.was_never_removed);
+        let start = self.start.filter(|_| is_unbroken);
+        let wait = if self.was_never_removed { Duration::ZERO } else { TENURE };
+        let is_member = membership == Membership::Current;
+        self.start = is_member.then(|| start.unwrap_or(now + wait));
         self.confirmed_at = Some(sent_at);
     }
 
     /// Since when this relay may grant, if it may at `now`.
     pub fn start(&self, now: Instant) -> Option<Instant> {
-        let start = self.since? + TENURE;
+        let start = self.start?;
         (start <= now && now < self.confirmed_at? + TENURE).then_some(start)
     }
 }
--- a/src/relay/quota.rs
+++ b/src/relay/quota.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     metric::Registry,
-    policy::quota::{Bound, Grant, Limit, Lot},
+    policy::quota::{Bound, Grant, Limit, Lot, Membership},
     relay::{
         host::Host,
         quota::{
@@ -137,8 +137,12 @@
             current.clone()
         };
         let own = view.nodes.iter().find(|it| it.name == self.own_name);
-        let is_member = own.is_some_and(|it| !it.leaving && it.incarnation == host.incarnation);
-        self.ledger.lock().confirm(&members, is_member, sent_at);
+        let membership = match own.filter(|it| !it.leaving) {
+            Some(it) if it.incarnation == host.incarnation => Membership::Current,
+            Some(_) => Membership::Earlier,
+            None => Membership::None,
+        };
+        self.ledger.lock().confirm(&members, membership, sent_at);
     }
 
     /// Answers another relay.
--- a/src/relay/quota/ledger.rs
+++ b/src/relay/quota/ledger.rs
@@ -11,7 +11,7 @@
 use crate::{
     policy::{
         ownership,
-        quota::{Bound, Bucket, Limit, Lot, Reserve, TENURE, Tenure},
+        quota::{Bound, Bucket, Limit, Lot, Membership, Reserve, TENURE, Tenure},
     },
     state::Node,
     wire::relay::QuotaRole,
@@ -81,9 +81,14 @@
     }
 
     /// Records that a poll sent at `sent_at` has confirmed the configuration with these nodes.
-    pub(super) fn confirm(&mut self, members: &Arc<Members>, is_member: bool, sent_at: Instant) {
+    pub(super) fn confirm(
+        &mut self,
+        members: &Arc<Members>,
+        membership: Membership,
+        sent_at: Instant,
+    ) {
         let now = Instant::now();
-        self.tenure.confirm(sent_at, is_member, now);
+        self.tenure.confirm(sent_at, membership, now);
         if self.history.back().is_some_and(|it| it.1 == *members) {
             return;
         }
--- a/tests/policy/quota.rs
+++ b/tests/policy/quota.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use gentianpass::policy::quota::{Bound, Bucket, Grant, Limit, Lot, Reserve, TENURE, Tenure};
+use gentianpass::policy::quota::{
+    Bound, Bucket, Grant, Limit, Lot, Membership, Reserve, TENURE, Tenure,
+};
 use proptest::prelude::*;
 
 use crate::cases;
@@ -115,25 +117,40 @@
     let mut tenure = Tenure::default();
     // Polls that control hosts hold for 1 s.
     for i in 0..3 {
-        tenure.confirm(start + ms(i * 1_000), true, start + ms(i * 1_000 + 1_000));
+        tenure.confirm(start + ms(i * 1_000), Membership::Current, start + ms(i * 1_000 + 1_000));
     }
     assert_eq!(tenure.start(start + ms(3_450)), None, "an older owner may grant until then");
     assert_eq!(tenure.start(start + ms(3_500)), Some(start + ms(1_000) + TENURE));
     assert_eq!(tenure.start(start + ms(4_500)), None, "not confirmed any more");
-    tenure.confirm(start + ms(3_900), true, start + ms(4_800));
+    tenure.confirm(start + ms(3_900), Membership::Current, start + ms(4_800));
     assert!(tenure.start(start + ms(4_800)).is_some(), "it cannot have been removed in between");
-    tenure.confirm(start + ms(6_700), true, start + ms(6_810));
+    tenure.confirm(start + ms(6_700), Membership::Current, start + ms(6_810));
     assert_eq!(
         tenure.start(start + ms(9_100)),
         None,
         "another owner may have been there meanwhile"
     );
-    tenure.confirm(start + ms(8_500), true, start + ms(9_300));
+    tenure.confirm(start + ms(8_500), Membership::Current, start + ms(9_300));
     assert!(tenure.start(start + ms(9_310)).is_some());
-    tenure.confirm(start + ms(9_300), false, start + ms(9_400));
+    tenure.confirm(start + ms(9_300), Membership::None, start + ms(9_400));
     assert_eq!(tenure.start(start + ms(9_500)), None, "removed");
 }
 
+/// Guards against tenants that are refused for seconds after all relays have started again.
+#[test]
+fn tenure_restarted_process() {
+    let start = now();
+    let mut tenure = Tenure::default();
+    tenure.confirm(start, Membership::Earlier, start + ms(10));
+    assert_eq!(tenure.start(start + ms(20)), None, "it is not a member yet");
+    tenure.confirm(start + ms(50), Membership::Current, start + ms(60));
+    assert!(tenure.start(start + ms(60)).is_some(), "no other relay has had its roles");
+    let mut removed = Tenure::default();
+    removed.confirm(start, Membership::None, start + ms(10));
+    removed.confirm(start + ms(50), Membership::Current, start + ms(60));
+    assert_eq!(removed.start(start + ms(60)), None, "another relay may grant as owner");
+}
+
 /// What happens at one step of a random history.
 #[derive(Clone, Copy, Debug)]
 enum Step {
