--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -389,7 +389,9 @@
         let is_unbroken = self.confirmed_at.is_some_and(|it| now < it + MAX_CONFIRM_GAP);
         let is_first = self.confirmed_at.is_none();
         let is_listed = membership != Membership::None;
-        self.was_never_removed = is_listed && (is_first || is_unbroken && self.was_never_removed);
+        let was_listed =
+            if is_first { membership == Membership::Earlier } else { self.was_never_removed };
+        self.was_never_removed = is_listed && was_listed && (is_first || is_unbroken);
         let start = self.start.filter(|_| is_unbroken);
         let wait = if self.was_never_removed { Duration::ZERO } else { TENURE };
         let is_member = membership == Membership::Current;
