Entry hosts are healthy only from their first join on

Cause: since a host was healthy after its first poll, before it had joined and could own targets. Change: /healthz waits for the first join; a host that is removed later stays healthy. lease::healthz_before_join failed before and passes.

--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Instant,
 };
@@ -120,6 +120,8 @@
     pub(super) policy: super::policy_state::PolicyState,
     /// Wakes the poll loop to poll at once.
     pub(super) poll_now: Notify,
+    /// Whether the configuration has ever had this process.
+    pub(super) has_joined: AtomicBool,
     /// When the latest confirmed poll was sent.
     pub(super) last_confirmed_poll: watch::Sender<Option<Instant>>,
     current: RwLock<Arc<ActiveConfig>>,
@@ -137,6 +139,7 @@
             owners,
             requests: RequestTracker::default(),
             poll_now: Notify::new(),
+            has_joined: AtomicBool::new(false),
             last_confirmed_poll: watch::Sender::new(None),
             batch_counter: AtomicU32::new(0),
             batch_prefix: random(),
@@ -170,6 +173,15 @@
         })
     }
 
+    /// Fails if this host must not be given new callers. One that has not joined yet owns no targets, and so it could reach
+    /// none if no other host does; one that was removed later goes on with the configuration that it has.
+    pub(super) fn check_health(&self) -> Result<()> {
+        if !self.has_joined.load(Ordering::Relaxed) {
+            return Err(Error::new(Kind::NoLease, "this host has not joined yet"));
+        }
+        self.check_lease()
+    }
+
     /// A new batch id. The random upper half keeps apart the batches of different processes at an owner.
     pub(super) fn next_batch_id(&self) -> BatchId {
         let counter = self.batch_counter.fetch_add(1, Ordering::Relaxed);
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -160,7 +160,7 @@
 async fn healthz<O: Owners>(State(host): HostState<O>) -> Response {
     let serving = match host.requests.phase() {
         ShutdownPhase::Rejecting => Err(Kind::Leaving.into()),
-        ShutdownPhase::Serving | ShutdownPhase::Leaving => host.check_lease(),
+        ShutdownPhase::Serving | ShutdownPhase::Leaving => host.check_health(),
     };
     match serving {
         Ok(()) => "ok\n".into_response(),
--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -3,7 +3,7 @@
 
 use std::{
     convert::Infallible,
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
@@ -50,6 +50,9 @@
             }
         }
         let is_joined = is_joined(host, &config);
+        if is_joined {
+            host.has_joined.store(true, Ordering::Relaxed);
+        }
         joined.send_if_modified(|it| std::mem::replace(it, is_joined) != is_joined);
     }
 }
--- a/tests/entry/lease.rs
+++ b/tests/entry/lease.rs
@@ -71,6 +71,22 @@
     until("joined", async || control.tables(|it| it.config.nodes.contains_key("entry-1"))).await;
 }
 
+/// Guards against a host that is given callers before it has joined: it owns no target yet, and refuses them.
+#[tokio::test(flavor = "multi_thread")]
+async fn healthz_before_join() {
+    let control = control(2, 1).await;
+    control.set_loss(|_| Loss::Silent);
+    let entry = Entry::launch(&control, "entry-1").await;
+    until("polled", async || {
+        entry.events().await.iter().any(|it| it.kind == event::Kind::LeaseGained)
+    })
+    .await;
+    assert_eq!(entry.get("/healthz").await.status, 503);
+    control.set_loss(|_| Loss::None);
+    entry.serving().await;
+    assert!(control.tables(|it| it.config.nodes.contains_key("entry-1")));
+}
+
 /// Guards against retries, hedges or a restart that are sent after the lease expired in the middle of a query.
 #[tokio::test(flavor = "multi_thread")]
 async fn lease_ends_in_query() {
--- a/tests/invariants/support.rs
+++ b/tests/invariants/support.rs
@@ -124,17 +124,18 @@
     let expected = Arc::new(ExpectedRows::new(DATASET, INDEX));
     let cluster = Cluster { fleet, expected, _slot: slot };
     let operator = &cluster.fleet.operator;
-    operator.admit_all(SEARCH_GROUP, INDEX, &[SEARCH_KIND]).await.expect("search group admitted");
-    operator
-        .set_label(&format!("kind/{SEARCH_KIND}"), "class", "quick")
-        .await
-        .expect("search kind labelled");
     operator
         .admit_all(PRINT_GROUP, PRINT_GROUP, &[PRINT_KIND])
         .await
         .expect("print group admitted");
     let kind = format!("kind/{PRINT_KIND}");
     operator.set_label(&kind, "idempotent", "false").await.expect("print kind labelled");
+    operator
+        .set_label(&format!("kind/{SEARCH_KIND}"), "class", "quick")
+        .await
+        .expect("search kind labelled");
+    // Last, so that an entry host that covers all shards has the changes before it.
+    operator.admit_all(SEARCH_GROUP, INDEX, &[SEARCH_KIND]).await.expect("search group admitted");
     cluster.wait_for_full_coverage().await;
     cluster
 }
