--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -205,6 +205,14 @@
         Ok(())
     }
 
+    /// Sends a signal to the process of a role.
+    pub fn signal(&mut self, i: usize, role: Role, name: &str) -> bool {
+        let child = self.machines[i].child(role).as_ref();
+        let Some(pid) = child.map(Child::id) else { return false };
+        let args = [format!("-{name}"), pid.to_string()];
+        Command::new("kill").args(args).status().is_ok_and(|it| it.success())
+    }
+
     /// Sends a call of the operator to one control host after the other until one answers with a status below 500.
     pub fn operate(&self, method: &str, path: &str, body: &str) -> Option<(usize, http::Message)> {
         let hosts = self.machines.iter().enumerate().filter(|(_, it)| it.has_disk);
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod evacuation;
 mod fleet;
+mod handover;
 mod http;
 mod late_report;
 mod popular;
@@ -42,6 +43,7 @@
     record.say(&format!("scenario {scenario}, trouble {trouble}"));
     let result = match scenario.as_str() {
         "evacuation" => evacuation::run(&record, trouble),
+        "handover" => handover::run(&record, trouble),
         "late_report" => late_report::run(&record, trouble),
         "popular" => popular::run(&record, trouble),
         _ => Err(format!("unknown scenario {scenario}")),
--- a/review/standin-2/requester.rs
+++ b/review/standin-2/requester.rs
@@ -68,7 +68,7 @@
                     record.note_at(
                         attempt.sent_at,
                         &format!(
-                            "request {} sent, answered {} after {} ms",
+                            "sent {}: {}, {} ms",
                             attempt.id,
                             attempt.status,
                             attempt.sent_at.elapsed().as_millis()
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -131,7 +131,7 @@
                 )
             } else {
                 let at = Instant::now();
-                self.record.note_at(at, &format!("server {} runs {id}", self.id));
+                self.record.note_at(at, &format!("run {id} at {}", self.id));
                 self.arrivals.lock().unwrap().push(Arrival { at, id: id.clone() });
                 thread::sleep(self.work);
                 if self.is_down() {
