--- a/review/standin-2/cold.rs
+++ b/review/standin-2/cold.rs
@@ -73,6 +73,7 @@
                 addr: (Ipv4Addr::LOCALHOST, 0).into(),
                 work: Duration::from_millis(40),
                 records: false,
+                clock_ahead: Duration::ZERO,
             };
             Server::start(plan, record)
         };
--- a/review/standin-2/handover.rs
+++ b/review/standin-2/handover.rs
@@ -90,6 +90,7 @@
             addr: (Ipv4Addr::LOCALHOST, 0).into(),
             work: Duration::from_millis(20),
             records: false,
+            clock_ahead: Duration::ZERO,
         };
         Server::start(plan, record).map_err(|it| it.to_string())
     };
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -14,6 +14,7 @@
 mod record;
 mod requester;
 mod server;
+mod unheard_leave;
 
 use std::{path::Path, process::ExitCode};
 
@@ -46,6 +47,7 @@
         "handover" => handover::run(&record, trouble),
         "late_report" => late_report::run(&record, trouble),
         "popular" => popular::run(&record, trouble),
+        "unheard_leave" => unheard_leave::run(&record, trouble),
         _ => Err(format!("unknown scenario {scenario}")),
     };
     let code = match &result {
--- a/review/standin-2/popular.rs
+++ b/review/standin-2/popular.rs
@@ -89,6 +89,7 @@
                 addr: (Ipv4Addr::LOCALHOST, 0).into(),
                 work: Duration::from_millis(15),
                 records: s > 0,
+                clock_ahead: Duration::ZERO,
             };
             servers.push(Server::start(plan, record).map_err(|it| it.to_string())?);
         }
@@ -145,6 +146,7 @@
                 addr: old.addr,
                 work: Duration::from_millis(15),
                 records: true,
+                clock_ahead: Duration::ZERO,
             };
             let new = Server::start(plan, record).map_err(|it| it.to_string())?;
             new.report("ready", &control);
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -52,13 +52,15 @@
     pub work: Duration,
     /// Whether it answers with records, as the servers of shards do.
     pub records: bool,
+    /// How far its clock is ahead.
+    pub clock_ahead: Duration,
 }
 
 impl Server {
     pub fn start(plan: Plan, record: &Record) -> std::io::Result<Arc<Self>> {
-        let Plan { id, service, zone, addr, work, records } = plan;
+        let Plan { id, service, zone, addr, work, records, clock_ahead } = plan;
         let listener = TcpListener::bind(addr)?;
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default() + clock_ahead;
         let server = Arc::new(Self {
             id,
             service,
@@ -192,4 +194,15 @@
             self.send_report(*it, seq, &body, Duration::from_secs(1))
         })
     }
+
+    /// Says that it leaves, to the first of these addresses that acknowledges.
+    pub fn leave(&self, to: &[SocketAddr]) -> bool {
+        let path = format!("/instances/{}/leave", self.id);
+        to.iter().any(|it| {
+            let answer = http::call(*it, "POST", &path, b"", Duration::from_secs(1));
+            let status = answer.as_ref().map_or(0, http::Message::status);
+            self.record.note(&format!("server {} leaves at {it}, status={status}", self.id));
+            (200..300).contains(&status)
+        })
+    }
 }
