--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -87,8 +87,6 @@
 pub struct Fleet {
     pub machines: Vec<Machine>,
     dir: PathBuf,
-    /// Further lines of the settings, at the top and under `[bounds]`.
-    pub extra: (String, String),
 }
 
 impl Fleet {
@@ -113,7 +111,7 @@
             relay: None,
         };
         let machines = places.iter().enumerate().map(machine).collect();
-        Ok(Self { machines, dir, extra: Default::default() })
+        Ok(Self { machines, dir })
     }
 
     /// Writes the settings files of these roles of a machine.
@@ -127,7 +125,6 @@
             self.machines.iter().map(|it| format!("{} = \"{}\"", it.zone, it.region)).collect();
         zones.sort();
         zones.dedup();
-        let (top, bounds) = &self.extra;
         for role in roles.iter().copied() {
             let data = self.dir.join(&machine.name).join("data");
             let disk = if role == Role::Control {
@@ -145,7 +142,7 @@
                 ),
             };
             let text = format!(
-                "{top}nodeName = \"{name}\"\nrole = \"{role}\"\nmachineClass = \"front\"\nip = \"{ip}\"\n\
+                "nodeName = \"{name}\"\nrole = \"{role}\"\nmachineClass = \"front\"\nip = \"{ip}\"\n\
                  zone = \"{zone}\"\nregion = \"{region}\"\ninternalPorts = [{internal},{last}]\n\
                  seeds = [{seeds}]\nbootstrap = {bootstrap}\ninTolerance = {disk_there}\n{disk}\
                  discovery = \"registration\"\nentry = \"directory\"\nheartbeatMs = 1200\n\
@@ -156,7 +153,7 @@
                  [bounds]\nseedLagS = 3\nreuseAfterS = 2\nstabilityWindowMs = 4000\nackMs = 5000\ncatchUpS = 4\n\
                  drainMs = 3000\ngraceS = 6\nlossSlackMs = 200\nconfigApplyMs = 3000\nrollbackSlackMs = 250\n\
                  maxSkewMs = 12000\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nretryBudgetSlack = 62\n\
-                 coldLoadFactor = 1.5\ncoldSlack = 5\nevacuateMs = 5000\nrecoveryS = 12\nttl_max_s = 5\n{bounds}",
+                 coldLoadFactor = 1.5\ncoldSlack = 5\nevacuateMs = 5000\nrecoveryS = 12\nttl_max_s = 5\n",
                 name = machine.name,
                 role = role.name(),
                 ip = machine.ip,
