--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -17,7 +17,7 @@
 /// How often the leader commits a `Tick`, which removes expired suspects and claims also if nothing else changes.
 const CLOCK_INTERVAL_MS: u64 = 60_000;
 const DISK_CHECK_INTERVAL_MS: u64 = 1_000;
-/// Shortest time between two snapshots. It limits the attempts while the disk has no space for one.
+/// Shortest time between two attempts to make a snapshot while the disk is full.
 const SNAPSHOT_INTERVAL_MS: u64 = 250;
 /// How often a leader with a full disk tries to transfer leadership. Each transfer costs an election.
 const LEADERSHIP_TRANSFER_INTERVAL_MS: u64 = 10_000;
@@ -57,7 +57,8 @@
     pub(super) fn run_periodic_tasks(&mut self) -> eyre::Result<()> {
         let now_ms = self.now_ms();
         if self.needs_snapshot()
-            && is_due(&mut self.schedule.snapshot, now_ms, SNAPSHOT_INTERVAL_MS)
+            && (!self.log.is_disk_full()
+                || is_due(&mut self.schedule.snapshot, now_ms, SNAPSHOT_INTERVAL_MS))
         {
             self.compact()?;
         }
