Control hosts name relays that are behind, silent or refused

Each control host now keeps a roster of the processes that poll it. It logs relay_behind for one that polls with a revision that has been outdated for a second, polls_ceased for a registered one that no longer polls it, and poll_refused with what the host knew of the cluster; the leader, to which the heartbeats of all polls travel, logs relay_silent. So polls that are not confirmed, confirmed polls without effect, and a task that does not poll can be told apart without the relay's own log. At most ten relays are named a second and event; the counts cover all. Polls and their answers are unchanged.

--- a/src/control/host.rs
+++ b/src/control/host.rs
@@ -2,6 +2,7 @@
 //! and linearizable reads.
 
 use std::{
+    fmt,
     net::SocketAddr,
     sync::{Arc, mpsc::SyncSender},
     time::Duration,
@@ -19,6 +20,8 @@
         driver::Input,
         metrics::{self, Metrics},
         peer::Peers,
+        roll_call::Visit,
+        roster::Roster,
         state_machine::StateMachine,
     },
     error::{Error, Kind, Result},
@@ -65,6 +68,25 @@
     pub membership: Arc<Membership>,
 }
 
+/// What a host knows of the cluster at one time. Written as fields of a log line.
+#[derive(Clone, Debug)]
+pub struct Position {
+    /// The role of the host.
+    pub role: Role,
+    /// The name of the leader, if it is known.
+    pub leader: Option<String>,
+    /// The last log index that the host has applied.
+    pub applied: Index,
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { role, leader, applied } = self;
+        let leader = leader.as_deref().unwrap_or("-");
+        write!(f, "role={role} leader={leader} applied={applied}")
+    }
+}
+
 /// A control host: the state that its tasks share.
 pub struct Host {
     /// The settings of the process.
@@ -85,6 +107,8 @@
     pub revision: watch::Sender<Revision>,
     /// The Raft cluster as this host sees it.
     pub cluster_status: watch::Sender<ClusterStatus>,
+    /// The processes that poll this host.
+    pub roster: Mutex<Roster>,
     /// The digest of the configuration at a revision. Locked while `state_machine` is locked.
     digest: Mutex<Option<(Revision, u64)>>,
     inputs: SyncSender<Input>,
@@ -115,6 +139,7 @@
             applied_index: watch::Sender::new(0),
             revision: watch::Sender::new(0),
             cluster_status: watch::Sender::new(cluster_status),
+            roster: Mutex::default(),
             digest: Mutex::default(),
             inputs,
             read_requests,
@@ -124,14 +149,15 @@
     /// Answers a poll: waits until the revision differs from the polled one, at most for the time in the poll. Before
     /// the wait a read barrier ensures that the response is at least as new as any commit before the poll arrived.
     pub async fn poll(&self, poll: Poll) -> Result<Update> {
+        let visit = Visit::begin(self, poll.process(), poll.revision);
         let result = self.poll_inner(poll).await;
+        visit.end(&result);
         self.metrics.polls.with_label_values(&[metrics::result_label(&result)]).inc();
         result
     }
 
     async fn poll_inner(&self, poll: Poll) -> Result<Update> {
-        let process = ProcessId { process_name: poll.node, incarnation: poll.incarnation };
-        self.read_barrier(vec![process]).await?;
+        self.read_barrier(vec![poll.process()]).await?;
         let wait = Duration::from_millis(poll.wait_ms).min(MAX_POLL_WAIT);
         let mut revision = self.revision.subscribe();
         let newer = revision.wait_for(|it| *it != poll.revision);
@@ -240,6 +266,17 @@
         self.cluster_status.borrow().clone()
     }
 
+    /// Returns what this host knows of the cluster.
+    pub fn position(&self) -> Position {
+        let applied = *self.applied_index.borrow();
+        let cluster_status = self.cluster_status.borrow();
+        let name = |(id, addr): (MemberId, SocketAddr)| {
+            let member = cluster_status.membership.members.get(&id);
+            member.map_or_else(|| addr.to_string(), |it| it.name.clone())
+        };
+        Position { role: cluster_status.role, leader: cluster_status.leader.map(name), applied }
+    }
+
     /// The zones and RPC addresses of all cluster members, voters first: a learner may be a host that was replaced and is
     /// gone, and whoever reads the list tries the first one of a zone first.
     pub fn member_addresses(&self) -> Vec<MemberEndpoint> {
--- a/src/control/liveness.rs
+++ b/src/control/liveness.rs
@@ -29,6 +29,11 @@
         self.last_seen_ms.insert(process, now_ms);
     }
 
+    /// The time without a heartbeat, in milliseconds. None for a process that is not followed.
+    pub fn silent_ms(&self, process: &ProcessId, now_ms: u64) -> Option<u64> {
+        Some(now_ms.saturating_sub(*self.last_seen_ms.get(process)?))
+    }
+
     /// Returns the processes whose removal must be proposed now. `expiries` has all processes of the configuration,
     /// each with the time in milliseconds after which it expires without a heartbeat.
     pub fn expired(&mut self, now_ms: u64, expiries: BTreeMap<ProcessId, u64>) -> Vec<ProcessId> {
--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -10,6 +10,14 @@
     pub registry: Registry,
     /// Polls, by result.
     pub polls: IntCounterVec,
+    /// Failed polls, by error.
+    pub refused_polls: IntCounterVec,
+    /// Processes that poll this host, and those of them that are behind.
+    pub followers: IntGaugeVec,
+    /// Registered processes that have ceased to poll this host.
+    pub ceased_followers: IntCounterVec,
+    /// Registered processes that have sent no poll to any control host lately, as the leader sees it.
+    pub silent_followers: IntGaugeVec,
     /// Submitted changes, by result.
     pub changes: IntCounterVec,
     /// Time from the arrival of a change at the leader until it was applied there, in seconds.
@@ -26,6 +34,26 @@
         let counter = |name, help| registry.counter(name, help, &["result"]);
         Self {
             polls: counter("gentianpass_control_polls_total", "Polls of entry hosts by result"),
+            refused_polls: registry.counter(
+                "gentianpass_control_polls_refused_total",
+                "Failed polls by error",
+                &["kind"],
+            ),
+            followers: registry.gauge(
+                "gentianpass_control_followers_count",
+                "Processes that poll this control host, and those of them with an outdated revision",
+                &["state"],
+            ),
+            ceased_followers: registry.counter(
+                "gentianpass_control_followers_ceased_total",
+                "Registered processes that have ceased to poll this control host",
+                &[],
+            ),
+            silent_followers: registry.gauge(
+                "gentianpass_control_followers_silent_count",
+                "Registered processes without a poll to any control host, at the leader",
+                &[],
+            ),
             changes: counter("gentianpass_control_changes_total", "Submitted changes by result"),
             commit_seconds: registry.duration(
                 "gentianpass_control_commit_seconds",
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -18,7 +18,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::{
-    control::{driver::Input, host::Host},
+    control::{driver::Input, host::Host, roll_call::Link},
     error::Result,
     event::{Event, Kind},
     inbound::Listener,
@@ -48,10 +48,12 @@
 #[derive(Clone)]
 struct Server {
     host: Arc<Host>,
+    link: Arc<Link>,
 }
 
 impl Service for Server {
     async fn poll(self, _: Context, poll: Poll) -> Result<Update> {
+        self.link.record_poll(&poll.process());
         self.host.poll(poll).await.map(Update::packed)
     }
 
@@ -113,7 +115,8 @@
     let _ = connection.get_ref().set_nodelay(true);
     let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_IDLE);
     let _ = SockRef::from(connection.get_ref()).set_tcp_keepalive(&keepalive);
-    let server = Server { host: host.clone() };
+    let link = Arc::new(Link::new(host.clone()));
+    let server = Server { host: host.clone(), link };
     let mut requests = pin!(BaseChannel::with_defaults(connection).requests());
     let mut running = JoinSet::new();
     while let Some(request) = requests.next().await {
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -19,7 +19,7 @@
         confirm,
         driver::{Driver, Input},
         host::Host,
-        http, join, rpc,
+        http, join, roll_call, rpc,
     },
     event::{Event, Kind},
     settings, store,
@@ -74,6 +74,7 @@
     tasks.spawn(HTTP_TASK, http::serve(host.clone(), listen_http, stop_rx));
     tasks.spawn("rpc", rpc::serve(host.clone(), listen_rpc));
     tasks.spawn("join", join::run(host.clone()));
+    tasks.spawn("roll_call", roll_call::run(host.clone()));
     let result = tokio::select! {
         it = driver => it.unwrap_or_else(|_| Err(eyre::eyre!("consensus thread panicked"))),
         failure = tasks.ended() => Err(with_address(failure, listen_rpc, listen_http)),
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -23,6 +23,12 @@
 const LEADERSHIP_TRANSFER_INTERVAL_MS: u64 = 10_000;
 const ROLLOUT_INTERVAL_MS: u64 = 200;
 const METRICS_INTERVAL_MS: u64 = 1_000;
+/// How often the leader looks for silent entry hosts.
+const SILENCE_INTERVAL_MS: u64 = 1_000;
+/// An entry host without a poll for this long is silent: a poll is held for at most a second.
+const SILENT_AFTER_MS: u64 = 2_000;
+/// Maximum number of silent entry hosts in the log at once.
+const MAX_SILENT_NAMED: usize = 10;
 /// Leaving targets expire after this many times the expiry of serving ones.
 const LEAVING_TARGET_EXPIRY_FACTOR: u64 = 6;
 
@@ -37,6 +43,7 @@
     leadership_transfer: u64,
     metrics: u64,
     rollouts: u64,
+    silence: u64,
 }
 
 /// Whether a task is due; if so, also schedules its next run.
@@ -74,7 +81,12 @@
             self.follow_rollouts(now_ms);
         }
         // A new leader waits until `handle_role_change` has reset the liveness of all processes for its term.
-        if self.core.role() != Role::Leader || self.last_led_term != self.core.hard_state().term {
+        let hears_all =
+            self.core.role() == Role::Leader && self.last_led_term == self.core.hard_state().term;
+        if is_due(&mut self.schedule.silence, now_ms, SILENCE_INTERVAL_MS) {
+            self.log_silent_nodes(now_ms, hears_all);
+        }
+        if !hears_all {
             return Ok(());
         }
         if is_due(&mut self.schedule.liveness, now_ms, LIVENESS_INTERVAL_MS)
@@ -152,6 +164,34 @@
         Ok(())
     }
 
+    /// Logs the entry hosts that have polled no control host lately. Only the leader gets the heartbeats of all polls; on
+    /// other hosts none is silent.
+    fn log_silent_nodes(&self, now_ms: u64, hears_all: bool) {
+        let mut silent = Vec::new();
+        let newest = self.host.with_tables(|it| {
+            for node in it.config.nodes.values().filter(|it| hears_all && !it.leaving) {
+                let process = process(&node.name, node.incarnation);
+                let silent_ms = self.node_liveness.silent_ms(&process, now_ms);
+                if let Some(silent_ms) = silent_ms.filter(|it| *it >= SILENT_AFTER_MS) {
+                    silent.push((silent_ms, process, node.zone.clone()));
+                }
+            }
+            it.config.revision
+        });
+        let count = silent.len();
+        self.host.metrics.silent_followers.with_label_values::<&str>(&[]).set(count as i64);
+        silent.sort_by_key(|it| std::cmp::Reverse(it.0));
+        for (silent_ms, process, zone) in silent.into_iter().take(MAX_SILENT_NAMED) {
+            log::warn!(
+                "event=relay_silent relay={} zone={zone} incarnation={} silent_ms={silent_ms} \
+                 newest={newest} via={} silent={count}",
+                process.process_name,
+                process.incarnation,
+                self.host.cfg.name,
+            );
+        }
+    }
+
     /// Removes targets whose announcements are not renewed. Leaving targets are kept longer, so that a delayed
     /// announcement from before the leave does not add them again.
     fn expire_targets(&mut self, now_ms: u64) -> eyre::Result<()> {
--- a/src/raft/core.rs
+++ b/src/raft/core.rs
@@ -7,6 +7,7 @@
 };
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
+use strum::Display;
 
 use crate::raft::{
     Body, Entry, HardState, Index, MemberChange, MemberId, Membership, Message, Payload, Save,
@@ -103,7 +104,8 @@
 }
 
 /// The role of a member. Candidates include those that only ask for pre-votes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
 pub enum Role {
     /// Accepts entries from the leader.
     Follower,
--- a/src/wire/control.rs
+++ b/src/wire/control.rs
@@ -24,6 +24,13 @@
     pub wait_ms: u64,
 }
 
+impl Poll {
+    /// The polling process.
+    pub fn process(&self) -> ProcessId {
+        ProcessId { process_name: self.node.clone(), incarnation: self.incarnation }
+    }
+}
+
 /// The reply to a poll. It is sent only after a quorum has confirmed the leader since the poll arrived, so it is not
 /// stale.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/tests/control/cluster.rs
+++ b/tests/control/cluster.rs
@@ -192,6 +192,15 @@
         request(self.hosts[i].http, method, path, body).await
     }
 
+    /// Reads the metrics of a host.
+    pub async fn metrics(&self, i: usize) -> String {
+        let url = format!("http://{}/metrics", self.hosts[i].http);
+        let client = legacy::Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+        let answer = client.get(url.parse().expect("URL")).await.expect("metrics");
+        let body = answer.into_body().collect().await.expect("metrics").to_bytes();
+        String::from_utf8(body.to_vec()).expect("text")
+    }
+
     /// Reads the state from a host; none if it cannot serve a confirmed read.
     pub async fn state(&self, i: usize) -> Option<State> {
         let (status, body) = self.http(i, Method::GET, "/v1/state", "").await;
--- a/tests/control/failures.rs
+++ b/tests/control/failures.rs
@@ -182,7 +182,8 @@
     assert!(cluster.wait_for_exit(leader).await.success());
 }
 
-fn node(name: &str) -> Node {
+/// An entry host with this name.
+pub fn node(name: &str) -> Node {
     let addr = ([127, 0, 0, 1], 9).into();
     let zone = crate::cluster::ZONES[0].into();
     Node { name: name.into(), incarnation: 1, http: addr, rpc: addr, zone, leaving: false }
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -9,5 +9,6 @@
 mod polls;
 mod raft_transport;
 mod rollout;
+mod roster;
 mod standing;
 mod storage;
