--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -24,6 +24,10 @@
 /// changes.
 pub const CEASED_AFTER: Duration = Duration::from_secs(2);
 
+/// A process whose polls have come here for this long follows this control host. One that starts or looks for another
+/// control host sends single polls to several.
+pub const FOLLOWS_AFTER: Duration = Duration::from_secs(3);
+
 /// Maximum number of processes that one check names for the same reason.
 pub const MAX_NAMED: usize = 10;
 
@@ -135,7 +139,7 @@
     pub behind_count: usize,
     /// Processes that have polled with an outdated revision since they were named last.
     pub behind: Vec<Behind>,
-    /// Registered processes that have ceased to poll this host, named once.
+    /// Registered processes that followed this host and have ceased to poll it, named once.
     pub ceased: Vec<Entry>,
     /// Number of processes with failed polls since the last check.
     pub refused_count: usize,
@@ -154,6 +158,8 @@
     leaving: bool,
     revision: Revision,
     polled_at: Instant,
+    /// Since when polls have come without a pause of [`CEASED_AFTER`].
+    polling_since: Instant,
     /// When the last poll arrived or ended.
     seen_at: Instant,
     answer: Answer,
@@ -180,6 +186,7 @@
             leaving: false,
             revision: 0,
             polled_at: now,
+            polling_since: now,
             seen_at: now,
             answer: Answer::default(),
             took: Duration::ZERO,
@@ -238,6 +245,9 @@
         let newest = self.newest();
         let outdated_for = self.outdated_for(revision, now);
         let Some(member) = self.member(process, now) else { return };
+        if !member.is_polling(now) {
+            member.polling_since = now;
+        }
         // A process has no revision of this configuration when it starts, and after its copy has failed.
         let is_unplaced = revision != newest && (revision == 0 || revision == Revision::MAX);
         let unplaced_since = is_unplaced.then(|| member.unplaced_since.unwrap_or(now));
@@ -328,7 +338,8 @@
             }
             let has_successor = node.is_some_and(|it| it.incarnation > process.incarnation);
             let is_expected = member.leaving || has_successor || member.zone.is_none();
-            if !member.has_ceased && !is_expected {
+            let has_followed = member.seen_at.duration_since(member.polling_since) >= FOLLOWS_AFTER;
+            if !member.has_ceased && has_followed && !is_expected {
                 if found.ceased.len() == MAX_NAMED {
                     continue;
                 }
