The leader logs which voters hold an order when it is committed

An acknowledged version that is missing later was either never held by a majority, or held and lost, or not followed. order_acknowledged told the revision only, and no log told the place of an order in the log of the cluster or the voters that held it.

--- a/src/control/actions.rs
+++ b/src/control/actions.rs
@@ -8,8 +8,10 @@
     control::{driver::Driver, host::ClusterStatus, state_machine::ApplyResult},
     error::{Error, Kind},
     event::{self, Event},
-    raft::{Action, Entry, Index, Membership, Message, Payload, Role, Save, Snapshot},
-    state::{Change, ChangeId, ObjectKind, Reply},
+    raft::{
+        Action, Entry, Index, MemberId, Membership, Message, Payload, Role, Save, Snapshot, Term,
+    },
+    state::{Change, ChangeId, ObjectKind, Reply, Revision},
     store,
 };
 
@@ -89,11 +91,20 @@
     /// decoded changes: after a restart the entries are the whole log.
     fn apply(&mut self, entries: &[Entry]) -> eyre::Result<()> {
         let mut replies = Vec::new();
+        let mut orders = Vec::new();
         let mut state_machine = self.host.state_machine.lock();
         for entry in entries {
+            let (index, term) = (entry.index, entry.term);
             let applied = state_machine.apply(entry).wrap_err("cannot decode a log entry")?;
             let Some(applied) = applied else { continue };
             self.record_change(&applied);
+            // Those that nobody waits for here were committed under another leader, or before the start of the process.
+            if self.pending_proposals.contains_key(&applied.entry.id)
+                && let Reply::Applied { revision } = applied.reply
+            {
+                let order = Order::new(&applied.entry.change, revision, index, term);
+                orders.extend(order);
+            }
             replies.push((applied.entry.id, applied.reply));
         }
         let (index, revision) = (state_machine.index, state_machine.tables.config.revision);
@@ -103,6 +114,7 @@
         for (id, reply) in replies {
             self.answer_proposal(id, &reply);
         }
+        self.record_orders(&orders);
         for entry in entries {
             if let Payload::Membership(membership) = &entry.payload {
                 self.record_event(event::Kind::Membership, describe_membership(membership));
@@ -111,6 +123,30 @@
         Ok(())
     }
 
+    /// Logs which voters were known to hold the orders when they were committed.
+    fn record_orders(&self, orders: &[Order]) {
+        if orders.is_empty() || self.core.role() != Role::Leader {
+            return;
+        }
+        let status = self.core.status();
+        for order in orders {
+            let Order { kind, subject, revision, index, term } = order;
+            let holds =
+                |it: &MemberId| status.members.get(it).is_some_and(|it| it.match_index >= *index);
+            let name = |it: MemberId| status.membership.members[&it].name.as_str();
+            let voters = status.membership.voters();
+            let held_by: Vec<_> = voters.filter(holds).map(name).collect();
+            log::info!(
+                "event=order_committed order={kind} {subject} revision={revision} index={index} \
+                 term={term} voters={} held_by={} via={}",
+                status.membership.voters().count(),
+                held_by.join(","),
+                self.host.cfg.name,
+            );
+            self.host.metrics.committed_orders.with_label_values(&[*kind]).inc();
+        }
+    }
+
     fn answer_proposal(&mut self, id: ChangeId, reply: &Reply) {
         let Some(pending) = self.pending_proposals.remove(&id) else { return };
         let elapsed = pending.received_at.elapsed().as_secs_f64();
@@ -212,6 +248,34 @@
     }
 }
 
+/// A change that an operator ordered.
+struct Order {
+    kind: &'static str,
+    /// What it is about, as fields of a log line.
+    subject: String,
+    revision: Revision,
+    index: Index,
+    term: Term,
+}
+
+impl Order {
+    /// Returns none for a change that no operator orders.
+    fn new(change: &Change, revision: Revision, index: Index, term: Term) -> Option<Self> {
+        let (kind, subject) = match change {
+            Change::PutRoutes(it) => ("routes", format!("version={}", it.version)),
+            Change::SetLabel { object, key, value } => {
+                ("label", format!("object={object} key={key} value={value:?}"))
+            }
+            Change::RemoveLabel { object, key } => ("label", format!("object={object} key={key}")),
+            Change::StartRollout(it) => {
+                ("rollout", format!("service={} version={:?}", it.service, it.target_version))
+            }
+            _ => return None,
+        };
+        Some(Self { kind, subject, revision, index, term })
+    }
+}
+
 fn with_object(event: Event, kind: ObjectKind, name: &str) -> Event {
     match kind {
         ObjectKind::Zone => event.zone(name),
--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -20,6 +20,8 @@
     pub silent_followers: IntGaugeVec,
     /// Submitted changes, by result.
     pub changes: IntCounterVec,
+    /// Orders of operators that were committed here, by kind.
+    pub committed_orders: IntCounterVec,
     /// Time from the arrival of a change at the leader until it was applied there, in seconds.
     pub commit_seconds: HistogramVec,
     /// Duration of one write to the log including its disk sync, in seconds.
@@ -55,6 +57,11 @@
                 &[],
             ),
             changes: counter("gentianpass_control_changes_total", "Submitted changes by result"),
+            committed_orders: registry.counter(
+                "gentianpass_control_orders_committed_total",
+                "Orders of operators that were committed while this control host led, by kind",
+                &["order"],
+            ),
             commit_seconds: registry.duration(
                 "gentianpass_control_commit_seconds",
                 "Time from the arrival of a change at the leader until it was applied there",
--- a/tests/control/operators.rs
+++ b/tests/control/operators.rs
@@ -11,7 +11,7 @@
 use hyper::Method;
 use uuid::Uuid;
 
-use crate::cluster::{Cluster, label_edit, label_value, poll, submit};
+use crate::cluster::{Cluster, label_edit, label_value, poll, submit, wait_until};
 
 /// Guards against two concurrent changes on the same base revision that are both accepted: one operator's change would
 /// overwrite the other's unseen.
@@ -168,6 +168,51 @@
     assert_held(&cluster, &[0, 1, 2]).await;
 }
 
+/// Guards against an order that is lost after it was acknowledged, while no log tells which voters held it; and against a line
+/// for each order in the log when a host starts.
+#[tokio::test(flavor = "multi_thread")]
+async fn committed_order_names_voters_that_hold_it() {
+    let mut cluster = Cluster::start("");
+    let leader = cluster.wait_for_leader(0).await;
+    let (other, stopped) = ((leader + 1) % 3, (leader + 2) % 3);
+    cluster.signal(stopped, "STOP");
+    let reply = order(&cluster, other, &routes(7, DOCUMENT, 500)).await;
+    let Reply::Applied { revision } = reply else { panic!("{reply:?}") };
+    let lines = |cluster: &Cluster| -> Vec<String> {
+        let logs = (0..3).map(|it| cluster.log(it)).collect::<String>();
+        let found = logs.lines().filter(|it| it.contains("event=order_committed "));
+        found.map(str::to_owned).collect()
+    };
+    let found = wait_until("the order is logged", async || {
+        Some(lines(&cluster)).filter(|it| !it.is_empty())
+    })
+    .await;
+    let mut names = [format!("control-{leader}"), format!("control-{other}")];
+    names.sort();
+    let [line] = found.as_slice() else { panic!("{found:?}") };
+    let held_by = line.split_once(" held_by=").expect("voters").1.split(' ').next();
+    let mut held_by: Vec<_> = held_by.expect("voters").split(',').collect();
+    held_by.sort_unstable();
+    assert_eq!(held_by, names, "{line}");
+    let subject = format!(" order=routes version=7 revision={revision} ");
+    assert!(line.contains(&subject) && line.contains(" voters=3 "), "{line}");
+    let metric = "gentianpass_control_orders_committed_total{order=\"routes\"} 1";
+    assert!(cluster.metrics(leader).await.contains(metric));
+    (0..3).for_each(|i| cluster.kill(i));
+    (0..3).for_each(|i| cluster.spawn(i));
+    for host in 0..3 {
+        let client = cluster.client(&[host]);
+        wait_until("the host has the order again", async || {
+            let Update::Config(full) = poll(&client, "entry", u64::MAX).await.ok()? else {
+                return None;
+            };
+            (full.routes.version == 7).then_some(())
+        })
+        .await;
+    }
+    assert_eq!(lines(&cluster), found);
+}
+
 /// Guards against an order that is refused when it is sent again under another id because its acknowledgement was lost,
 /// here together with the leader.
 #[tokio::test(flavor = "multi_thread")]
