A silent relay is named before it is removed, shown with real processes

A relay was silent after two seconds and removed after three, and the leader looks once a second, so that a relay could be removed without a line. It is silent after 1.8 s now. The test stops a relay process with SIGSTOP and finds it in the log of the control host, which said nothing while the relay followed.

--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -25,8 +25,9 @@
 const METRICS_INTERVAL_MS: u64 = 1_000;
 /// How often the leader looks for silent entry hosts.
 const SILENCE_INTERVAL_MS: u64 = 1_000;
-/// An entry host without a poll for this long is silent: a poll is held for at most a second.
-const SILENT_AFTER_MS: u64 = 2_000;
+/// An entry host without a poll for this long is silent: a poll is held for at most a second. With the default
+/// `node_expiry_ms` it is logged at least once before it is removed.
+const SILENT_AFTER_MS: u64 = 1_800;
 /// Maximum number of silent entry hosts in the log at once.
 const MAX_SILENT_NAMED: usize = 10;
 /// Leaving targets expire after this many times the expiry of serving ones.
