Relays compare their configurations, and one that is behind takes it from another

The class is: what a relay serves by depends on one path, its own polls. Whatever stands in the way there, it goes on by what it has, and nothing tells it that its neighbours know better.

Leases and tenures still count from own polls. The relays that are asked log who is behind, because the log of the relay at fault has never reached us.

--- a/src/relay/delegate.rs
+++ b/src/relay/delegate.rs
@@ -20,6 +20,7 @@
         call,
         gather::ShardResults,
         host::Host,
+        neighbour,
         peer::{self, PeerConnection},
         records::merge_records,
         request::{CallerConnection, Query},
@@ -53,6 +54,13 @@
         match timeout(IDLE_TIMEOUT, conn.receive()).await?? {
             Message::Ping => conn.send(&Reply::Accepted).await?,
             Message::Detach => return Ok(()),
+            Message::Compare(it) => {
+                host.neighbours.record(host, &it);
+                conn.send(&Reply::Standing(neighbour::standing(host, Duration::ZERO))).await?;
+            }
+            Message::Fetch(revision) => {
+                conn.send(&Reply::Config(neighbour::newer_config(host, revision))).await?;
+            }
             Message::Quota(it) => conn.send(&Reply::Quota(host.quotas.serve(host, &it))).await?,
             Message::Delegate(it) => run_delegation(host, &mut conn, *it, peer, None).await?,
             Message::DelegateFor(sender, it) => {
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -107,7 +107,13 @@
     /// Follows the configuration and submits changes until the task is aborted.
     pub(super) async fn run(&self) {
         freshness::spawn_log(&self.host);
-        tokio::join!(self.follow(), self.submit(), self.audit(), self.report_evidence());
+        tokio::join!(
+            self.follow(),
+            self.submit(),
+            self.audit(),
+            self.report_evidence(),
+            self.compare_with_neighbours(),
+        );
     }
 
     /// The control host that answered the last poll; none if no control host could be reached.
@@ -130,7 +136,6 @@
         let cfg = &self.host.cfg;
         let mut poller =
             ConfigPoller::new(&cfg.control, cfg.name.clone(), self.host.incarnation, MAX_POLL_WAIT);
-        let mut config = Config::default();
         let mut resync = Resync::None;
         // Nothing here needs an answer sooner than the polls bring it.
         let poll_now = Notify::new();
@@ -145,9 +150,10 @@
                     poller.distrust_current();
                 }
             }
+            let copied = self.host.copy.lock().revision;
             let revision = match resync {
                 Resync::Whole => WHOLE_CONFIG_REVISION,
-                Resync::None | Resync::Steps => config.revision,
+                Resync::None | Resync::Steps => copied,
             };
             let is_rollout = self.host.rollouts.is_any_running();
             poller.set_wait(if is_rollout { ROLLOUT_POLL_WAIT } else { MAX_POLL_WAIT });
@@ -158,7 +164,7 @@
             match answer {
                 Ok(confirmed) => {
                     self.host.freshness.record_answer(poller.current_addr());
-                    let next = self.apply_update(&mut config, confirmed, resync);
+                    let next = self.apply_update(copied, confirmed, resync);
                     let failed_again = (resync, next) == (Resync::Whole, Resync::Whole);
                     if next == Resync::Whole {
                         // Another control host confirms what this one says, or corrects it.
@@ -174,13 +180,17 @@
                     if resync == Resync::Whole && err.kind == Kind::TooLarge {
                         // Only the history may lead there.
                         log::warn!("event=config_restarted cause={:?}", err.to_string());
-                        (config, resync) = (Config::default(), Resync::Steps);
+                        *self.host.copy.lock() = Config::default();
+                        resync = Resync::Steps;
                     }
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
             }
-            let own = config.nodes.get(&self.host.cfg.name);
-            let registered = own.map(|it| (it.incarnation, it.leaving));
+            let registered = {
+                let copy = self.host.copy.lock();
+                let own = copy.nodes.get(&self.host.cfg.name);
+                own.map(|it| (it.incarnation, it.leaving))
+            };
             let position = Position { control_host, registered };
             self.position.send_if_modified(|it| {
                 let changed = *it != position;
@@ -217,11 +227,22 @@
         self.host.events.record(event);
     }
 
-    /// Applies an update to the copy of the configuration and makes it current. Returns how to go on.
-    fn apply_update(&self, config: &mut Config, confirmed: PollResponse, resync: Resync) -> Resync {
-        let PollResponse { sent_at, update, .. } = confirmed;
+    /// Applies an update to the copy of the configuration, which was at revision `polled` when the poll was sent, and makes it
+    /// current. Returns how to go on.
+    fn apply_update(&self, polled: Revision, confirmed: PollResponse, resync: Resync) -> Resync {
+        let mut copy = self.host.copy.lock();
+        let config = &mut *copy;
+        let PollResponse { sent_at, mut update, .. } = confirmed;
         let is_whole = matches!(update, Update::Config(_));
         let is_newest = is_whole || matches!(&update, Update::Changes(it) if it.is_empty());
+        if config.revision > polled {
+            // Another relay was faster than the control hosts, whose answer may be from before that.
+            match &mut update {
+                Update::Changes(changes) => changes.retain(|it| it.revision > config.revision),
+                Update::Config(it) if it.revision < config.revision => return resync,
+                Update::Config(_) | Update::Packed(..) => {}
+            }
+        }
         match (resync, update) {
             (Resync::Whole, Update::Config(whole)) => {
                 *config = *whole;
--- a/src/relay/freshness.rs
+++ b/src/relay/freshness.rs
@@ -48,6 +48,8 @@
 struct State {
     /// When the poll that last confirmed the configuration was sent. Commits before it are in force.
     confirmed_at: Option<Instant>,
+    /// The same for polls of other relays with the same configuration.
+    confirmed_by_relay_at: Option<Instant>,
     /// The control host that answered last.
     control_host: Option<SocketAddr>,
     /// Polls that were answered since the last confirmation.
@@ -132,9 +134,23 @@
         self.state.lock().confirmed_at
     }
 
+    /// Records that control hosts have confirmed this configuration to another relay. That is no lease: control hosts go on
+    /// without a host that does not poll.
+    pub(super) fn confirm_by_relay(&self, sent_at: Instant) {
+        let mut state = self.state.lock();
+        state.confirmed_by_relay_at = state.confirmed_by_relay_at.max(Some(sent_at));
+    }
+
+    /// Up to when nothing newer than the configuration was committed, as far as this relay or another one knows; none
+    /// before the first poll.
+    pub(super) fn known_at(&self) -> Option<Instant> {
+        let state = self.state.lock();
+        state.confirmed_at.max(state.confirmed_by_relay_at)
+    }
+
     /// The time since the configuration was last confirmed, or since the start of the process.
     pub(super) fn age(&self) -> Duration {
-        self.confirmed_at().unwrap_or(self.started_at).elapsed()
+        self.known_at().unwrap_or(self.started_at).elapsed()
     }
 
     /// Whether control hosts have confirmed the configuration within the last [`LEASE`].
--- a/src/relay/group.rs
+++ b/src/relay/group.rs
@@ -151,9 +151,7 @@
                 host.metrics.delegations.with_label_values(&["refused"]).inc();
                 Err(DelegateEvent::Rejected { may_have_run: false })
             }
-            Ok(Ok(Reply::Progress(_) | Reply::Quota(_))) => {
-                Err(self.on_rejected(host, "reply out of order", true))
-            }
+            Ok(Ok(_)) => Err(self.on_rejected(host, "reply out of order", true)),
             Ok(Err(err)) => Err(self.on_rejected(host, &err.to_string(), true)),
             Err(_) => Err(self.on_rejected(host, "delegation not accepted in time", true)),
         }
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -21,9 +21,9 @@
     memory::{self, Account},
     metric,
     relay::{
-        buffer::Buffers, builder::Builder, freshness::Freshness, metrics::Metrics, peer::Peers,
-        quota::Quotas, report, retired::Retired, rollout::Rollouts, settings::Settings,
-        suspect::Suspects, view::View,
+        buffer::Buffers, builder::Builder, freshness::Freshness, metrics::Metrics, neighbour,
+        peer::Peers, quota::Quotas, report, retired::Retired, rollout::Rollouts,
+        settings::Settings, suspect::Suspects, view::View,
     },
     state::{Config, Node},
 };
@@ -79,6 +79,10 @@
     /// Reports for the control hosts.
     pub(super) reports: report::Queue,
     registry: metric::Registry,
+    /// The configuration as the control hosts have sent it.
+    pub(super) copy: Mutex<Config>,
+    /// Other relays that were behind.
+    pub(super) neighbours: neighbour::Reports,
     builder: Mutex<Builder>,
     view: RwLock<Arc<View>>,
     /// Whether a routing table has been received.
@@ -119,6 +123,8 @@
             suspects: Suspects::default(),
             reports: report::Queue::default(),
             registry,
+            copy: Mutex::default(),
+            neighbours: neighbour::Reports::default(),
             builder: Mutex::new(Builder::new(cfg.clone(), retired.clone(), rollouts.clone())),
             retired,
             rollouts,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,7 +5,8 @@
 //! request, `buffer` on a response, `exchange`, `transmit`, `pool` and `peer` on a connection, `view` on a revision of
 //! the configuration, `admission`, `rollout`, `exposure` and `evidence` on a rollout, the others on the process.
 //!
-//! Locks of `parking_lot` are never held across an await. They nest in five places only: the builder's lock around
+//! Locks of `parking_lot` are never held across an await. They nest in six places only: the lock of the copy of the
+//! configuration around those of the view and the builder, the builder's lock around
 //! those of targets, budgets and rollouts, the lock of a target's statistics around that of its cold-start limiter, the
 //! lock of a rollout's old targets around those of their statistics, the lock of known crashes around that of unreported
 //! ones, and in `quota` the lock of the holders around those of the members, the ledger and the report.
@@ -29,6 +30,7 @@
 mod host;
 mod idle;
 mod metrics;
+mod neighbour;
 mod peer;
 mod pool;
 mod quota;
@@ -61,6 +63,7 @@
 pub use freshness::{LATE_CONFIG_AGE, is_log_due, is_poll_awaited};
 pub use host::Host;
 pub use idle::IdleConnections;
+pub use neighbour::Lag;
 pub use records::merge_records;
 pub use run::{create, run, run_with};
 pub use settings::{
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -6,7 +6,11 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{route::KeyDigest, wire::control::ProcessId};
+use crate::{
+    route::KeyDigest,
+    state::Revision,
+    wire::control::{ProcessId, Update},
+};
 
 /// A message from the delegating relay to the delegate.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,6 +27,25 @@
     DelegateFor(Sender, Box<Delegation>),
     /// Asks the owner or the deputy of a tenant for tokens, or returns some. The reply is [`Reply::Quota`].
     Quota(QuotaRequest),
+    /// Compares configurations. The reply is [`Reply::Standing`]. A relay of an earlier release closes the connection.
+    Compare(Standing),
+    /// Asks for the configuration if it is newer than this revision. The reply is [`Reply::Config`].
+    Fetch(Revision),
+}
+
+/// The configuration by which a relay serves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Standing {
+    /// The name of the relay.
+    pub name: String,
+    /// The revision of its configuration.
+    pub revision: Revision,
+    /// The digest of its configuration.
+    pub digest: u64,
+    /// The time since control hosts confirmed that there was nothing newer, in microseconds; `None` if they never did.
+    pub age_us: Option<u64>,
+    /// For how long it has known of a newer revision, in microseconds.
+    pub behind_us: u64,
 }
 
 /// The part of a relay in the quota of a tenant.
@@ -107,6 +130,10 @@
     Progress(Progress),
     /// The answer to a request for tokens.
     Quota(QuotaReply),
+    /// The answer to a comparison.
+    Standing(Standing),
+    /// The whole configuration, or no changes if it is not newer.
+    Config(Update),
 }
 
 /// The results of shards that have completed or failed.
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -11,6 +11,7 @@
 mod follow;
 mod gather;
 mod leaving;
+mod neighbour;
 mod quota;
 mod responses;
 mod rollout;
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -286,6 +286,8 @@
     submissions_hang: Arc<AtomicBool>,
     /// Whether polls get no response.
     polls_hang: Arc<AtomicBool>,
+    /// The host whose polls get no response.
+    unanswered: Arc<Mutex<Option<String>>>,
     /// The last evidence of each relay.
     evidence: Arc<Mutex<BTreeMap<String, Evidence>>>,
     revision: watch::Sender<u64>,
@@ -307,6 +309,11 @@
         self.polls_hang.store(hang, Ordering::SeqCst);
     }
 
+    /// From now on, polls of this host get no response.
+    pub fn hang_polls_of(&self, name: &str) {
+        *self.unanswered.lock() = Some(name.to_owned());
+    }
+
     /// The last evidence of a relay.
     pub fn evidence(&self, name: &str) -> Option<Evidence> {
         self.evidence.lock().get(name).cloned()
@@ -364,7 +371,8 @@
 
 impl ControlHandler for StubControl {
     async fn poll(&self, poll: Poll) -> Result<Update> {
-        if self.polls_hang.load(Ordering::SeqCst) {
+        let is_unanswered = self.unanswered.lock().as_ref() == Some(&poll.node);
+        if is_unanswered || self.polls_hang.load(Ordering::SeqCst) {
             std::future::pending::<()>().await;
         }
         let mut revision = self.revision.subscribe();
@@ -410,6 +418,7 @@
             stopped: Arc::default(),
             submissions_hang: Arc::default(),
             polls_hang: Arc::default(),
+            unanswered: Arc::default(),
             evidence: Arc::default(),
             revision: watch::Sender::new(0),
         };
