--- a/src/process.rs
+++ b/src/process.rs
@@ -36,6 +36,7 @@
 pub fn main<S: Settings>(run: impl FnOnce(S) -> eyre::Result<()>) -> ExitCode {
     let args = Args::parse();
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(event::LOG_FILTER))
+        .format_timestamp_millis()
         .init();
     let cfg = match settings::load(&args.settings) {
         Ok(cfg) => cfg,
@@ -107,6 +108,7 @@
         }
     });
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(event::LOG_FILTER))
+        .format_timestamp_millis()
         .target(env_logger::Target::Pipe(Box::new(QueuedWriter { tx, dropped: 0 })))
         .init();
     log_panics();
