--- a/src/relay/neighbour.rs
+++ b/src/relay/neighbour.rs
@@ -133,7 +133,7 @@
         }
         if lines.entry(theirs.name.clone()).or_default().record(Instant::now()).is_some() {
             log::warn!(
-                "event=relay_behind relay={} revision={} newest={} age_ms={} behind_ms={}",
+                "event=neighbour_behind relay={} revision={} newest={} age_ms={} behind_ms={}",
                 theirs.name,
                 theirs.revision,
                 view.revision,
