Ask a target for its health before it is put into service after a departure

Callers saw requests at a server that had left (DRAIN). A process starts again under its id, leaves before it is heard, and is put into service by its first heartbeat, which arrives after the leave was acknowledged. A leave names no process, and Departures told by the clocks whether an announcement is of the one that left or of a successor. By a clock that is ahead, the one that left looks like a successor.

The platform offers a source that needs no clock: the service's healthPath answers 200 with the server's id while it is not leaving. Within 30 s of a departure of its name, a process that is to be put into service is asked by the host that has received its announcement, before the commit. The change (Announce) carries the departure after which it was healthy, and the state machine refuses it if another one has been recorded since. No answer, another id, no known path or another status mean: not in service yet; the heartbeat is acknowledged and the next one asks again, until 30 s after the departure. A sound successor whose clock is behind serves at once now; it waited for 30 s.

Without the comparison of the departure, leave_after_health_check fails; without the check, left_process_any_order.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod client;
 mod confirm;
 mod driver;
+mod health;
 mod history;
 mod host;
 mod http;
@@ -33,6 +34,7 @@
 
 pub use candidates::{Candidates, Round};
 pub use client::Client;
+pub use health::Endpoint;
 pub use history::History;
 pub use host::{ClusterStatus, Host};
 pub use peer::{Peer, Peers};
--- a/src/control/poller.rs
+++ b/src/control/poller.rs
@@ -264,11 +264,13 @@
         }
         Change::PutNode(it) => format!("put host {}", it.name),
         Change::RemoveNode { name, .. } => format!("removed host {name}"),
-        Change::PutTarget(it) => format!("put target {} ({})", it.name, it.phase),
+        Change::PutTarget(it) | Change::Announce { target: it, .. } => {
+            format!("put target {} ({})", it.name, it.phase)
+        }
         Change::RemoveTarget { name, .. } => format!("removed target {name}"),
         Change::Suspect { fingerprint, target } => format!("{fingerprint:016x} crashed {target}"),
         Change::RetireTarget { name, .. } => format!("target {name} is leaving"),
-        Change::Leave { name, .. } => format!("target {name} leaves"),
+        Change::Leave { name, .. } | Change::Depart { name, .. } => format!("target {name} leaves"),
         Change::Exonerate { fingerprint } => format!("{fingerprint:016x} was answered"),
         Change::Tick => "expired suspect requests".into(),
         Change::StartRollout(it) => {
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -11,12 +11,15 @@
 use rand::random;
 
 use crate::{
-    control::host::Host,
+    control::{
+        health::{Checker, Endpoint},
+        host::Host,
+    },
     error::{Error, Kind, Result},
     event::{Event, Kind as EventKind, unix_ms},
     route,
     state::{
-        Change, DRAIN_LABEL, Object, ObjectKind, Phase, Reply, Revision, Rollout, Target,
+        Change, DRAIN_LABEL, Object, ObjectKind, Phase, Reply, Revision, Rollout, Standing, Target,
         check_name, rollout::Start,
     },
     wire::control::{ProcessId, Submit},
@@ -39,8 +42,9 @@
 
 /// Commits announcements of targets, routes and drains. An announcement that changes nothing is only a heartbeat: it is
 /// not committed, but forwarded to the leader in batches.
-pub struct Registry {
+pub struct Registry<E> {
     host: Arc<Host>,
+    health: Checker<E>,
     commit_timeout: Duration,
     max_clock_skew: Duration,
     latest_calls: Mutex<HashMap<String, LatestCall>>,
@@ -61,12 +65,18 @@
     }
 }
 
-impl Registry {
-    /// Creates a registry. A change is retried for at most `commit_timeout`. The clocks of two hosts differ by at most
-    /// `max_clock_skew`.
-    pub fn new(host: Arc<Host>, commit_timeout: Duration, max_clock_skew: Duration) -> Self {
+impl<E: Endpoint> Registry<E> {
+    /// Creates a registry of targets that answer health checks at an endpoint. A change is retried for at most
+    /// `commit_timeout`. The clocks of two hosts differ by at most `max_clock_skew`.
+    pub fn new(
+        host: Arc<Host>,
+        health: E,
+        commit_timeout: Duration,
+        max_clock_skew: Duration,
+    ) -> Self {
         Self {
             host,
+            health: Checker::new(health),
             commit_timeout,
             max_clock_skew,
             latest_calls: Mutex::default(),
@@ -116,7 +126,7 @@
                 self.pending_renewals.lock().push(process(&target));
                 Ok(())
             } else {
-                self.put_target(target).await
+                self.put_target(Change::PutTarget(target.clone()), &target).await
             };
         }
         if !is_latest {
@@ -127,13 +137,14 @@
             return Ok(());
         }
         self.host.read_barrier(Vec::new()).await?;
-        if self.renew_if_unchanged(&target)
-            || self.has_left(&target)
-            || !self.claim_address(&target).await?
-        {
+        if self.renew_if_unchanged(&target) {
+            return Ok(());
+        }
+        let Some(change) = self.admit(&target).await else { return Ok(()) };
+        if !self.claim_address(&target).await? {
             return Ok(());
         }
-        self.put_target(target).await
+        self.put_target(change, &target).await
     }
 
     fn is_known_leaving(&self, target: &Target) -> bool {
@@ -145,17 +156,31 @@
         })
     }
 
-    /// Drops the announcement of a process that has left, or cannot be told from it, before it claims an address. The state
-    /// machine decides again when a change is applied.
-    fn has_left(&self, target: &Target) -> bool {
-        let Target { name, incarnation, .. } = target;
-        let has_left = self.host.with_tables(|it| {
-            !it.departures.admits(name, *incarnation, it.config.now_ms.max(unix_ms()))
-        });
-        if has_left {
-            log_ignored(target, "the target has left");
-        }
-        has_left
+    /// Returns the change that puts a target into service, or none if it has left or may have left and is not known to be
+    /// healthy. The state machine decides again when the change is applied.
+    async fn admit(&self, target: &Target) -> Option<Change> {
+        let now_ms = |log_ms: u64| log_ms.max(unix_ms());
+        let standing = self.host.with_tables(|it| it.standing(target, now_ms(it.config.now_ms)));
+        let healthy_after_ms = match standing {
+            Standing::Sound => None,
+            Standing::Left => {
+                log_ignored(target, "the target has left");
+                return None;
+            }
+            Standing::Uncertain { left_at_ms } => {
+                let document = self.host.with_tables(|it| it.config.routes.document.clone());
+                let health = self.health.check(target, &document).await;
+                let result = health.map_or_else(|it| it.to_string(), |()| "healthy".into());
+                log::info!(
+                    "event=health_checked target={} incarnation={} left_at_ms={left_at_ms} result={result:?}",
+                    target.name,
+                    target.incarnation
+                );
+                health.ok()?;
+                Some(left_at_ms)
+            }
+        };
+        Some(Change::Announce { target: target.clone(), healthy_after_ms })
     }
 
     /// Whether an announcement changes nothing: the target is known as announced, is leaving already, or a later process
@@ -190,7 +215,7 @@
         check_name(name)?;
         let known = self.host.with_tables(|it| it.config.targets.get(name).cloned());
         let max_clock_skew_ms = self.max_clock_skew.as_millis() as u64;
-        let change = Change::Leave { name: name.to_owned(), max_clock_skew_ms };
+        let change = Change::Depart { name: name.to_owned(), max_clock_skew_ms };
         let revision = self.commit(None, change).await?;
         self.pending_renewals.lock().extend(known.as_ref().map(process));
         let known = known.map(|it| format!("{} {}", it.incarnation, it.phase));
@@ -285,13 +310,13 @@
         Ok(true)
     }
 
-    async fn put_target(&self, target: Target) -> Result<()> {
+    async fn put_target(&self, change: Change, target: &Target) -> Result<()> {
         let cause =
             format!("{} at {}, incarnation {}", target.phase, target.addr, target.incarnation);
         let event = Event::new(EventKind::TargetAnnounced, cause);
         let event = event.target(&target.name).zone(&target.zone);
-        self.pending_renewals.lock().push(process(&target));
-        self.commit(None, Change::PutTarget(target)).await?;
+        self.pending_renewals.lock().push(process(target));
+        self.commit(None, change).await?;
         self.host.events.record(event);
         Ok(())
     }
--- a/src/state/change.rs
+++ b/src/state/change.rs
@@ -101,7 +101,8 @@
         /// Fingerprint of the request.
         fingerprint: u64,
     },
-    /// Records that a target leaves, whichever process of it has said so.
+    /// Records that a target leaves, whichever process of it has said so. Superseded in the log by `Depart`; entry hosts
+    /// still get it.
     Leave {
         /// Name of the target.
         name: String,
@@ -114,11 +115,25 @@
     AdvanceRollout(Advance),
     /// Changes part of the route table and its tenants. Sent to entry hosts in place of `PutRoutes`; never part of the log.
     PatchTenants(Box<route::Patch>, Box<route::TenantPatch>),
+    /// Adds or updates a target, unless one of its processes has left and this one may be it.
+    Announce {
+        /// The target.
+        target: Target,
+        /// The departure after which this process was found healthy, by the log's clock; none if it was not checked.
+        healthy_after_ms: Option<u64>,
+    },
+    /// Records that a target leaves, whichever process of it has said so.
+    Depart {
+        /// Name of the target.
+        name: String,
+        /// Maximum difference between the clocks of two hosts, in milliseconds.
+        max_clock_skew_ms: u64,
+    },
 }
 
 impl Change {
     /// The change as sent to entry hosts that hold the `old` route table. A new route table becomes a patch, without
-    /// the operators' document; other changes stay as they are.
+    /// the operators' document, and what was decided on a target becomes the plain change; others stay as they are.
     pub fn for_entry_hosts(&self, old: &route::Table) -> Self {
         match self {
             Self::PutRoutes(table) => {
@@ -128,6 +143,10 @@
                     None => Self::PatchRoutes(patch),
                 }
             }
+            Self::Announce { target, .. } => Self::PutTarget(target.clone()),
+            Self::Depart { name, max_clock_skew_ms } => {
+                Self::Leave { name: name.clone(), max_clock_skew_ms: *max_clock_skew_ms }
+            }
             change => change.clone(),
         }
     }
--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -229,7 +229,7 @@
                 let current = self.nodes.get(name).is_some_and(|it| it.incarnation == *incarnation);
                 Ok(current && self.nodes.remove(name).is_some())
             }
-            Change::PutTarget(target) => self.put_target(target),
+            Change::PutTarget(target) | Change::Announce { target, .. } => self.put_target(target),
             Change::RemoveTarget { name, incarnation } => {
                 let current =
                     self.targets.get(name).is_some_and(|it| it.incarnation == *incarnation);
@@ -244,7 +244,7 @@
             Change::RetireTarget { name, incarnation } => {
                 Ok(self.retire_target(name, *incarnation))
             }
-            Change::Leave { name, .. } => {
+            Change::Leave { name, .. } | Change::Depart { name, .. } => {
                 let known = self.targets.get(name).map(|it| it.incarnation);
                 Ok(known.is_some_and(|it| self.retire_target(name, it)))
             }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -20,7 +20,7 @@
 pub use change::{Change, ChangeId, Entry, Reply};
 pub use claim::{Claim, Claims, KEY_LIFETIME_MS, Settlement};
 pub use config::{Config, Group, Holding, Node, Phase, Revision, Selector, Target, Version};
-pub use departure::Departures;
+pub use departure::{Departures, Standing};
 pub use label::{
     DRAIN_LABEL, Labels, MAX_NAME_BYTES, Match, Object, ObjectKind, SERVICE_LABEL, SOFTWARE_LABEL,
     check_name,
--- a/src/state/tables.rs
+++ b/src/state/tables.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     error::{Error, Kind},
-    state::{Change, ChangeId, Claims, Config, Departures, Entry, Phase, Reply, Target},
+    state::{Change, ChangeId, Claims, Config, Departures, Entry, Phase, Reply, Standing, Target},
 };
 
 /// Number of replies kept for changes that are sent again.
@@ -59,7 +59,16 @@
             Change::PutTarget(it) if it.phase == Phase::Serving => {
                 self.departures.admits(&it.name, it.incarnation, self.config.now_ms)
             }
-            Change::PutTarget(it) => !self.is_of_earlier_process(it),
+            Change::Announce { target, healthy_after_ms } if target.phase == Phase::Serving => {
+                match self.standing(target, self.config.now_ms) {
+                    Standing::Sound => true,
+                    Standing::Left => false,
+                    Standing::Uncertain { left_at_ms } => *healthy_after_ms == Some(left_at_ms),
+                }
+            }
+            Change::PutTarget(it) | Change::Announce { target: it, .. } => {
+                !self.is_of_earlier_process(it)
+            }
             _ => true,
         };
         let applied = if has_effect {
@@ -83,6 +92,19 @@
         }
     }
 
+    /// What is known of a process that announces itself as serving.
+    pub fn standing(&self, target: &Target, now_ms: u64) -> Standing {
+        let Target { name, incarnation, .. } = target;
+        let known = self.config.targets.get(name);
+        let serves =
+            known.is_some_and(|it| (it.incarnation, it.phase) == (*incarnation, Phase::Serving));
+        match self.departures.standing(name, *incarnation, now_ms) {
+            // A leave after it was put into service would have ended it.
+            Standing::Uncertain { .. } if serves => Standing::Sound,
+            standing => standing,
+        }
+    }
+
     /// Recognizes the announcement of a process whose successor has its name and is leaving: the target is out of service.
     fn is_of_earlier_process(&self, target: &Target) -> bool {
         let known = self.config.targets.get(&target.name);
