Allow for the clock of the next leader after a departure

Callers would see requests at a server that has left (DRAIN): whether 30 s have passed since a departure is told by the log's clock. It jumps when the next leader's clock is ahead, by up to maxSkewMs, so that a process that cannot be told from a successor was put into service without a health check while it still served on and its announcements could arrive.

After a leave, the time in which processes are asked is longer by the skew that the leave carries. It costs one health check for a process that starts under the id of one that left 30 to 42 s before; one whose check never succeeds waits as much longer.

departure::leave_before_leader_with_fast_clock failed before; the other tests of tests/state pass (46 of 46).

--- a/src/state/departure.rs
+++ b/src/state/departure.rs
@@ -41,10 +41,14 @@
 }
 
 impl Leave {
+    /// Maximum difference between the clocks of two hosts when it was committed.
+    fn max_clock_skew_ms(&self) -> u64 {
+        self.at_ms.saturating_sub(self.surely_before)
+    }
+
     /// The latest incarnation of a process that may have started before.
     fn possibly_before(&self) -> u64 {
-        let max_clock_skew_ms = self.at_ms.saturating_sub(self.surely_before);
-        self.latest.max(self.at_ms + max_clock_skew_ms)
+        self.latest.max(self.at_ms + self.max_clock_skew_ms())
     }
 
     /// Whether no known process accounts for the leave.
@@ -85,11 +89,13 @@
 
 impl Departures {
     /// Judges a process that announces itself as serving. From [`LEAVING_MS`] after a departure on, announcements that cannot
-    /// be told from those of the process that left can only be those of a successor.
+    /// be told from those of the process that left can only be those of a successor. By the log's clock it takes longer:
+    /// the next leader's may be ahead.
     pub fn standing(&self, name: &str, incarnation: u64, now_ms: u64) -> Standing {
         let Some(Departure { at_ms, processes, leave }) = self.records.get(name) else {
             return Standing::Sound;
         };
+        let uncertain_ms = LEAVING_MS + leave.map_or(0, |it| it.max_clock_skew_ms());
         let is_taken_for_left = |it: &Leave| {
             incarnation <= it.surely_before
                 || (it.is_of_unheard()
@@ -98,7 +104,7 @@
         };
         if processes.contains(&incarnation) || leave.as_ref().is_some_and(is_taken_for_left) {
             Standing::Left
-        } else if now_ms <= at_ms + LEAVING_MS {
+        } else if now_ms <= at_ms + uncertain_ms {
             Standing::Uncertain { left_at_ms: *at_ms }
         } else {
             Standing::Sound
--- a/tests/state/departure.rs
+++ b/tests/state/departure.rs
@@ -365,6 +365,19 @@
     assert!(is_left(&fixture), "the known process had left");
 }
 
+/// Guards against a process that serves after it has left, because the clock of the next leader is ahead.
+#[test]
+fn leave_before_leader_with_fast_clock() {
+    let mut fixture = Fixture { now_ms: START_MS, ..Fixture::default() };
+    let process = |incarnation| Target { incarnation, ..target("a", "z", 1, 0, 1) };
+    fixture.accept(Change::PutTarget(process(START_MS - 60_000)));
+    fixture.accept(Change::Depart { name: "a".into(), max_clock_skew_ms: MAX_SKEW_MS });
+    fixture.now_ms += MAX_SERVING_ON_MS + MAX_LATE_MS + MAX_SKEW_MS;
+    let announce = Change::Announce { target: process(START_MS + 1), healthy_after_ms: None };
+    fixture.accept(announce);
+    assert_eq!(fixture.tables.config.targets["a"].phase, Phase::Leaving);
+}
+
 /// Guards against a control host that does not start from a snapshot of an earlier release, which holds no departures.
 #[test]
 fn restore_without_departures() {
