--- a/tests/state/departure.rs
+++ b/tests/state/departure.rs
@@ -378,6 +378,16 @@
     assert_eq!(fixture.tables.config.targets["a"].phase, Phase::Leaving);
 }
 
+/// Guards against relays of an earlier release that cannot read what a control host sends.
+#[test]
+fn changes_for_entry_hosts_of_earlier_release() {
+    let (target, routes) = (target("a", "z", 1, 0, 1), gentianpass::route::Table::default());
+    let announce = Change::Announce { target: target.clone(), healthy_after_ms: Some(1) };
+    assert_eq!(announce.for_entry_hosts(&routes), Change::PutTarget(target));
+    let depart = Change::Depart { name: "a".into(), max_clock_skew_ms: MAX_SKEW_MS };
+    assert_eq!(depart.for_entry_hosts(&routes), leave());
+}
+
 /// Guards against a control host that does not start from a snapshot of an earlier release, which holds no departures.
 #[test]
 fn restore_without_departures() {
