Let the target at an address tell that it has it

Callers got 503 from a sound server: a late announcement of one that had crashed took its address away, or its own announcement was ignored, while the one that had crashed was known. The cause is of the class of the faults before: which of two targets has an address was decided by comparing their start times, which are by the clocks of two hosts. It lasts until the other one has missed five heartbeats.

If another target serves at the address or started later, the one that announces itself is asked by a health check. If it answers, it has the address; if another one answers, it does not. Without either, the clocks decide as before.

address::late_announcement_at_reused_address_is_ignored (503 instead of 200) and address::successor_with_slow_clock_at_reused_address_serves (timeout; the test announces once) failed before. The price is a health check for each announcement at an address that is still in use by the configuration.

--- a/src/control/health.rs
+++ b/src/control/health.rs
@@ -1,4 +1,5 @@
-//! Health checks of targets. They tell whether a process that announces itself is the one that has left.
+//! Health checks of targets. They tell whether a process that announces itself is the one that has left, and which target has an
+//! address.
 
 use std::{net::SocketAddr, pin::pin, time::Duration};
 
@@ -37,6 +38,8 @@
     Status(StatusCode),
     #[strum(to_string = "another target answered its health check")]
     OtherTarget,
+    #[strum(to_string = "its health check named no target")]
+    Unnamed,
     #[strum(to_string = "its health check got no response in time")]
     Silent,
     #[strum(to_string = "its health check got no response")]
@@ -65,13 +68,12 @@
         let _permit = self.permits.try_acquire().map_err(|_| Unhealthy::Busy)?;
         let exchange = exchange(target.addr, uri, E::NAME_HEADER);
         let (status, name) = timeout(TIMEOUT, exchange).await.map_err(|_| Unhealthy::Silent)??;
-        if status != StatusCode::OK {
-            return Err(Unhealthy::Status(status));
+        match name {
+            Some(name) if name != target.name.as_bytes() => Err(Unhealthy::OtherTarget),
+            _ if status != StatusCode::OK => Err(Unhealthy::Status(status)),
+            None => Err(Unhealthy::Unnamed),
+            Some(_) => Ok(()),
         }
-        if name.as_deref() != Some(target.name.as_bytes()) {
-            return Err(Unhealthy::OtherTarget);
-        }
-        Ok(())
     }
 }
 
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     control::{
-        health::{Checker, Endpoint},
+        health::{Checker, Endpoint, Unhealthy},
         host::Host,
     },
     error::{Error, Kind, Result},
@@ -140,10 +140,11 @@
         if self.renew_if_unchanged(&target) {
             return Ok(());
         }
-        let Some(change) = self.admit(&target).await else { return Ok(()) };
-        if !self.claim_address(&target).await? {
+        let Some(healthy_after_ms) = self.admit(&target).await else { return Ok(()) };
+        if !self.claim_address(&target, healthy_after_ms.is_some()).await? {
             return Ok(());
         }
+        let change = Change::Announce { target: target.clone(), healthy_after_ms };
         self.put_target(change, &target).await
     }
 
@@ -156,31 +157,38 @@
         })
     }
 
-    /// Returns the change that puts a target into service, or none if it has left or may have left and is not known to be
-    /// healthy. The state machine decides again when the change is applied.
-    async fn admit(&self, target: &Target) -> Option<Change> {
+    /// Returns none if a target has left, or may have left and is not known to be healthy; else the departure after which it
+    /// was found healthy, if there is one. The state machine decides again when the change is applied.
+    async fn admit(&self, target: &Target) -> Option<Option<u64>> {
         let now_ms = |log_ms: u64| log_ms.max(unix_ms());
         let standing = self.host.with_tables(|it| it.standing(target, now_ms(it.config.now_ms)));
-        let healthy_after_ms = match standing {
-            Standing::Sound => None,
+        match standing {
+            Standing::Sound => Some(None),
             Standing::Left => {
                 log_ignored(target, "the target has left");
-                return None;
+                None
             }
             Standing::Uncertain { left_at_ms } => {
-                let document = self.host.with_tables(|it| it.config.routes.document.clone());
-                let health = self.health.check(target, &document).await;
-                let result = health.map_or_else(|it| it.to_string(), |()| "healthy".into());
-                log::info!(
-                    "event=health_checked target={} incarnation={} left_at_ms={left_at_ms} result={result:?}",
-                    target.name,
-                    target.incarnation
-                );
-                health.ok()?;
-                Some(left_at_ms)
+                let health = self.check_health(target, &format!("left_at_ms {left_at_ms}")).await;
+                health.ok().map(|()| Some(left_at_ms))
             }
-        };
-        Some(Change::Announce { target: target.clone(), healthy_after_ms })
+        }
+    }
+
+    async fn check_health(
+        &self,
+        target: &Target,
+        cause: &str,
+    ) -> std::result::Result<(), Unhealthy> {
+        let document = self.host.with_tables(|it| it.config.routes.document.clone());
+        let health = self.health.check(target, &document).await;
+        let result = health.map_or_else(|it| it.to_string(), |()| "healthy".into());
+        log::info!(
+            "event=health_checked target={} incarnation={} cause={cause:?} result={result:?}",
+            target.name,
+            target.incarnation
+        );
+        health
     }
 
     /// Whether an announcement changes nothing: the target is known as announced, is leaving already, or a later process
@@ -291,16 +299,22 @@
         }
     }
 
-    /// Assigns an address to the process that started last, and removes serving targets of older processes at it.
-    /// Returns false if a newer process already uses the address.
-    async fn claim_address(&self, target: &Target) -> Result<bool> {
+    /// Assigns an address to a target, and removes other serving targets at it. Returns false if another one has the
+    /// address. Which one has it is told by the target that answers there, and without an answer by the clocks: the process
+    /// that started last.
+    async fn claim_address(&self, target: &Target, is_healthy: bool) -> Result<bool> {
         let others: Vec<_> = self.host.with_tables(|it| {
             let same_address = |it: &&Target| it.addr == target.addr && it.name != target.name;
             it.config.targets.values().filter(same_address).cloned().collect()
         });
-        if let Some(newer) = others.iter().find(|it| it.incarnation > target.incarnation) {
-            log_ignored(target, &format!("{} at {} is newer", newer.name, newer.addr));
-            return Ok(false);
+        let newer = others.iter().find(|it| it.incarnation > target.incarnation);
+        let rival = newer.or_else(|| others.iter().find(|it| it.phase == Phase::Serving));
+        if !is_healthy && let Some(rival) = rival {
+            let health = self.check_health(target, &format!("address of {}", rival.name)).await;
+            if health == Err(Unhealthy::OtherTarget) || (health.is_err() && newer.is_some()) {
+                log_ignored(target, &format!("{} is at {}", rival.name, rival.addr));
+                return Ok(false);
+            }
         }
         for Target { name, incarnation, phase, .. } in others {
             if phase == Phase::Serving {
