--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod client;
 mod confirm;
 mod driver;
+mod health;
 mod history;
 mod host;
 mod http;
@@ -35,6 +36,7 @@
 
 pub use candidates::{Candidates, Round};
 pub use client::Client;
+pub use health::Endpoint;
 pub use history::History;
 pub use host::{ClusterStatus, Host, Position};
 pub use peer::{Peer, Peers};
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -11,12 +11,15 @@
 use rand::random;
 
 use crate::{
-    control::host::Host,
+    control::{
+        health::{Checker, Endpoint, Unhealthy},
+        host::Host,
+    },
     error::{Error, Kind, Result},
     event::{Event, Kind as EventKind, unix_ms},
     route,
     state::{
-        Change, DRAIN_LABEL, Object, ObjectKind, Phase, Reply, Revision, Rollout, Target,
+        Change, DRAIN_LABEL, Object, ObjectKind, Phase, Reply, Revision, Rollout, Standing, Target,
         check_name, rollout::Start,
     },
     wire::control::{ProcessId, Submit},
@@ -39,8 +42,9 @@
 
 /// Commits announcements of targets, routes and drains. An announcement that changes nothing is only a heartbeat: it is
 /// not committed, but forwarded to the leader in batches.
-pub struct Registry {
+pub struct Registry<E> {
     host: Arc<Host>,
+    health: Checker<E>,
     commit_timeout: Duration,
     max_clock_skew: Duration,
     latest_calls: Mutex<HashMap<String, LatestCall>>,
@@ -61,12 +65,18 @@
     }
 }
 
-impl Registry {
-    /// Creates a registry. A change is retried for at most `commit_timeout`. The clocks of two hosts differ by at most
-    /// `max_clock_skew`.
-    pub fn new(host: Arc<Host>, commit_timeout: Duration, max_clock_skew: Duration) -> Self {
+impl<E: Endpoint> Registry<E> {
+    /// Creates a registry of targets that answer health checks at an endpoint. A change is retried for at most
+    /// `commit_timeout`. The clocks of two hosts differ by at most `max_clock_skew`.
+    pub fn new(
+        host: Arc<Host>,
+        health: E,
+        commit_timeout: Duration,
+        max_clock_skew: Duration,
+    ) -> Self {
         Self {
             host,
+            health: Checker::new(health),
             commit_timeout,
             max_clock_skew,
             latest_calls: Mutex::default(),
@@ -116,7 +126,7 @@
                 self.pending_renewals.lock().push(process(&target));
                 Ok(())
             } else {
-                self.put_target(target).await
+                self.put_target(Change::PutTarget(target.clone()), &target).await
             };
         }
         if !is_latest {
@@ -127,13 +137,15 @@
             return Ok(());
         }
         self.host.read_barrier(Vec::new()).await?;
-        if self.renew_if_unchanged(&target)
-            || self.has_left(&target)
-            || !self.claim_address(&target).await?
-        {
+        if self.renew_if_unchanged(&target) {
             return Ok(());
         }
-        self.put_target(target).await
+        let Some(healthy_after_ms) = self.admit(&target).await else { return Ok(()) };
+        if !self.claim_address(&target, healthy_after_ms.is_some()).await? {
+            return Ok(());
+        }
+        let change = Change::Announce { target: target.clone(), healthy_after_ms };
+        self.put_target(change, &target).await
     }
 
     fn is_known_leaving(&self, target: &Target) -> bool {
@@ -145,17 +157,38 @@
         })
     }
 
-    /// Drops the announcement of a process that has left, or cannot be told from it, before it claims an address. The state
-    /// machine decides again when a change is applied.
-    fn has_left(&self, target: &Target) -> bool {
-        let Target { name, incarnation, .. } = target;
-        let has_left = self.host.with_tables(|it| {
-            !it.departures.admits(name, *incarnation, it.config.now_ms.max(unix_ms()))
-        });
-        if has_left {
-            log_ignored(target, "the target has left");
+    /// Returns none if a target has left, or may have left and is not known to be healthy; else the departure after which it
+    /// was found healthy, if there is one. The state machine decides again when the change is applied.
+    async fn admit(&self, target: &Target) -> Option<Option<u64>> {
+        let now_ms = |log_ms: u64| log_ms.max(unix_ms());
+        let standing = self.host.with_tables(|it| it.standing(target, now_ms(it.config.now_ms)));
+        match standing {
+            Standing::Sound => Some(None),
+            Standing::Left => {
+                log_ignored(target, "the target has left");
+                None
+            }
+            Standing::Uncertain { left_at_ms } => {
+                let health = self.check_health(target, &format!("left_at_ms {left_at_ms}")).await;
+                health.ok().map(|()| Some(left_at_ms))
+            }
         }
-        has_left
+    }
+
+    async fn check_health(
+        &self,
+        target: &Target,
+        cause: &str,
+    ) -> std::result::Result<(), Unhealthy> {
+        let document = self.host.with_tables(|it| it.config.routes.document.clone());
+        let health = self.health.check(target, &document).await;
+        let result = health.map_or_else(|it| it.to_string(), |()| "healthy".into());
+        log::info!(
+            "event=health_checked target={} incarnation={} cause={cause:?} result={result:?}",
+            target.name,
+            target.incarnation
+        );
+        health
     }
 
     /// Whether an announcement changes nothing: the target is known as announced, is leaving already, or a later process
@@ -190,7 +223,7 @@
         check_name(name)?;
         let known = self.host.with_tables(|it| it.config.targets.get(name).cloned());
         let max_clock_skew_ms = self.max_clock_skew.as_millis() as u64;
-        let change = Change::Leave { name: name.to_owned(), max_clock_skew_ms };
+        let change = Change::Depart { name: name.to_owned(), max_clock_skew_ms };
         let revision = self.commit(None, change).await?;
         self.pending_renewals.lock().extend(known.as_ref().map(process));
         let known = known.map(|it| format!("{} {}", it.incarnation, it.phase));
@@ -266,16 +299,22 @@
         }
     }
 
-    /// Assigns an address to the process that started last, and removes serving targets of older processes at it.
-    /// Returns false if a newer process already uses the address.
-    async fn claim_address(&self, target: &Target) -> Result<bool> {
+    /// Assigns an address to a target, and removes other serving targets at it. Returns false if another one has the
+    /// address. Which one has it is told by the target that answers there, and without an answer by the clocks: the process
+    /// that started last.
+    async fn claim_address(&self, target: &Target, is_healthy: bool) -> Result<bool> {
         let others: Vec<_> = self.host.with_tables(|it| {
             let same_address = |it: &&Target| it.addr == target.addr && it.name != target.name;
             it.config.targets.values().filter(same_address).cloned().collect()
         });
-        if let Some(newer) = others.iter().find(|it| it.incarnation > target.incarnation) {
-            log_ignored(target, &format!("{} at {} is newer", newer.name, newer.addr));
-            return Ok(false);
+        let newer = others.iter().find(|it| it.incarnation > target.incarnation);
+        let rival = newer.or_else(|| others.iter().find(|it| it.phase == Phase::Serving));
+        if !is_healthy && let Some(rival) = rival {
+            let health = self.check_health(target, &format!("address of {}", rival.name)).await;
+            if health == Err(Unhealthy::OtherTarget) || (health.is_err() && newer.is_some()) {
+                log_ignored(target, &format!("{} is at {}", rival.name, rival.addr));
+                return Ok(false);
+            }
         }
         for Target { name, incarnation, phase, .. } in others {
             if phase == Phase::Serving {
@@ -285,13 +324,13 @@
         Ok(true)
     }
 
-    async fn put_target(&self, target: Target) -> Result<()> {
+    async fn put_target(&self, change: Change, target: &Target) -> Result<()> {
         let cause =
             format!("{} at {}, incarnation {}", target.phase, target.addr, target.incarnation);
         let event = Event::new(EventKind::TargetAnnounced, cause);
         let event = event.target(&target.name).zone(&target.zone);
-        self.pending_renewals.lock().push(process(&target));
-        self.commit(None, Change::PutTarget(target)).await?;
+        self.pending_renewals.lock().push(process(target));
+        self.commit(None, change).await?;
         self.host.events.record(event);
         Ok(())
     }
