Endpoints speak HTTP/1.1 alone: bodies on HTTP/2 streams were not bounded

Callers could end a control host: 180 connections with 200 unfinished bodies of 8,000 bytes each took it to 743,364 and 732,789 kB on a machine of 64 MB (endpoints::control_http2_streams, before this change).

axum::serve recognizes HTTP/2 by its preface as soon as any crate of the build enables that feature of hyper-util, which ours does. The account leaves out bodies up to 8 KiB because a connection holds at most one of them; an HTTP/2 connection holds 200, and its window another MiB.

The endpoints now use hyper's HTTP/1.1 connections, as the callers' port and entry hosts do.

--- a/src/inbound.rs
+++ b/src/inbound.rs
@@ -23,7 +23,7 @@
 use crate::descriptors::RESERVE;
 
 pub use body::{Bound, receive};
-pub use http::{HttpListener, HttpStream, Peer};
+pub use http::{HttpListener, HttpStream, Peer, serve};
 pub use write::WriteLimit;
 
 /// Minimum time between two lines that tell the same.
--- a/src/inbound/http.rs
+++ b/src/inbound/http.rs
@@ -1,22 +1,25 @@
-//! Listener for axum whose connections are bounded and closed when they are idle.
+//! HTTP/1.1 server for routers whose connections are bounded and closed when they are idle.
 
 use std::{
     future::Future,
     io::{self, IoSlice},
     net::{IpAddr, SocketAddr},
-    pin::Pin,
+    pin::{Pin, pin},
     sync::Arc,
     task::{Context, Poll, ready},
     time::{Duration, Instant},
 };
 
-use axum::{extract::connect_info::Connected, serve::IncomingStream};
+use axum::{Router, body::Body, extract::ConnectInfo};
+use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::{rt::TokioIo, server::graceful::GracefulShutdown};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
     sync::{Notify, futures::OwnedNotified},
     time::{Sleep, sleep},
 };
+use tower::ServiceExt;
 
 use crate::inbound::{Connections, Listener, Slot};
 
@@ -36,12 +39,6 @@
     pub(super) evicted: Arc<Notify>,
 }
 
-impl Connected<IncomingStream<'_, HttpListener>> for Peer {
-    fn connect_info(stream: IncomingStream<'_, HttpListener>) -> Self {
-        Self { ip: stream.remote_addr().ip(), evicted: stream.io().evicted.clone() }
-    }
-}
-
 /// Accepts a bounded number of connections.
 pub struct HttpListener {
     inner: Listener,
@@ -54,13 +51,8 @@
         let connections = Arc::new(Connections::new(kind, max));
         Self { inner: Listener::new(inner), connections }
     }
-}
 
-impl axum::serve::Listener for HttpListener {
-    type Io = HttpStream;
-    type Addr = SocketAddr;
-
-    async fn accept(&mut self) -> (Self::Io, Self::Addr) {
+    async fn accept(&mut self) -> (HttpStream, SocketAddr) {
         loop {
             let (stream, addr) = self.inner.accept().await;
             if let Some(slot) = self.connections.admit(Instant::now()) {
@@ -68,10 +60,35 @@
             }
         }
     }
+}
 
-    fn local_addr(&self) -> io::Result<Self::Addr> {
-        self.inner.local_addr()
+/// Serves a router until `stop` completes, and then until the requests in progress have ended. HTTP/2 is not spoken: what a
+/// connection holds is bounded because it carries one request at a time.
+pub async fn serve(mut listener: HttpListener, router: Router, stop: impl Future<Output = ()>) {
+    let connections = GracefulShutdown::new();
+    let mut stop = pin!(stop);
+    loop {
+        let (stream, addr) = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut stop => break,
+        };
+        let peer = Peer { ip: addr.ip(), evicted: stream.evicted.clone() };
+        let router = router.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let mut request = request.map(Body::new);
+            request.extensions_mut().insert(ConnectInfo(peer.clone()));
+            router.clone().oneshot(request)
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let connection = connections.watch(connection);
+        tokio::spawn(async move {
+            if let Err(err) = connection.await {
+                log::debug!("event=connection_ended cause={err:?}");
+            }
+        });
     }
+    drop(listener);
+    connections.shutdown().await;
 }
 
 /// A connection that ends for its reader once it was idle for too long, or has to make room while no request runs.
