Endpoints bound the head of a request

Callers could take a control host or a relay beyond its memory with heads that do not end: 180 of 400,000 bytes each took a control host to 116,992 kB and a relay (at its directory) to 100,241 kB on a machine of 64 MB (endpoints::control_endless_heads and directory_endless_heads, before).

hyper's read buffer grows to 417,792 bytes unless it is bounded, which axum::serve does not allow. With hyper's own connections, heads have at most 32 KiB and as much time as an idle connection.

--- a/src/inbound/http.rs
+++ b/src/inbound/http.rs
@@ -12,7 +12,10 @@
 
 use axum::{Router, body::Body, extract::ConnectInfo};
 use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::{rt::TokioIo, server::graceful::GracefulShutdown};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
@@ -27,8 +30,14 @@
 /// two, and no request takes as long.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// The most that is read at once, in bytes. It is below the first size of hyper's read buffers, which grow to 400 KiB when a
-/// read fills them, and stay as large while the connection is idle.
+/// The longest head of a request, in bytes. It bounds the read buffer of a connection.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+
+/// How long the head of a request may take to arrive, from the end of the previous response on.
+const HEAD_TIMEOUT: Duration = IDLE_TIMEOUT;
+
+/// The most that is read at once, in bytes. It is below the first size of hyper's read buffers, which grow when a read fills
+/// them, and stay as large while the connection is idle.
 const READ_BYTES: usize = 4 << 10;
 
 /// The other end of a connection.
@@ -79,7 +88,11 @@
             request.extensions_mut().insert(ConnectInfo(peer.clone()));
             router.clone().oneshot(request)
         });
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .max_buf_size(MAX_HEAD_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
         let connection = connections.watch(connection);
         tokio::spawn(async move {
             if let Err(err) = connection.await {
