The operators' interface of control hosts is bounded

It was served by axum::serve on a plain listener: no bound on connections or heads, no idle timeout, HTTP/2, and bodies of 1 MiB outside the account. It now uses the listener, the server and the account of the other endpoints. The settings of a control host name its descriptors and its memory for that (max_descriptors, memory_mb); 5% of the descriptors are for operators. The account belongs to the control host, so that all its interfaces share it.

--- a/src/control/host.rs
+++ b/src/control/host.rs
@@ -23,6 +23,7 @@
     },
     error::{Error, Kind, Result},
     event::Ring,
+    memory::{self, Account},
     raft::{Index, MemberId, Membership, Role},
     settings,
     state::{Change, Reply, Revision, Tables},
@@ -77,6 +78,8 @@
     pub metrics: Metrics,
     /// Connections to other control hosts.
     pub peers: Peers,
+    /// What requests hold: bodies, and responses that their senders have not taken.
+    pub memory: Arc<Account>,
     /// The replicated tables and the change history. The consensus thread writes, other tasks read.
     pub state_machine: Mutex<StateMachine>,
     /// The last log index that the state machine has applied.
@@ -105,11 +108,14 @@
             cluster: None,
             membership: Arc::default(),
         };
+        let metrics = Metrics::default();
+        let max_held = memory::account_bytes(cfg.memory_mb);
         Self {
             events: Ring::new(cfg.name.clone()),
             cfg,
             id,
-            metrics: Metrics::default(),
+            memory: Arc::new(Account::new(max_held, &metrics.registry)),
+            metrics,
             peers: Peers::default(),
             state_machine: Mutex::default(),
             applied_index: watch::Sender::new(0),
--- a/src/control/http.rs
+++ b/src/control/http.rs
@@ -11,8 +11,7 @@
 
 use axum::{
     Json, Router,
-    body::Bytes,
-    extract::{DefaultBodyLimit, FromRequest, Query, Request, State},
+    extract::{ConnectInfo, Query, Request, State},
     http::{HeaderMap, StatusCode, header::AUTHORIZATION},
     middleware::{self, Next},
     response::{IntoResponse, Response},
@@ -25,6 +24,8 @@
     control::host::Host,
     error::{Error, Kind, Outcome},
     event,
+    inbound::{self, HttpListener, Peer},
+    memory::{self, Refusal},
     raft::{self, MemberId},
     state::{Change, Group, Reply, Selector},
     wire::{
@@ -48,8 +49,9 @@
     stop: oneshot::Receiver<()>,
 ) -> io::Result<()> {
     let listener = TcpListener::bind(listen).await?;
-    let shutdown = async || drop(stop.await);
-    axum::serve(listener, router(host)).with_graceful_shutdown(shutdown()).await
+    let listener = HttpListener::new(listener, "operators", host.cfg.max_operators());
+    inbound::serve(listener, router(host), async { drop(stop.await) }).await;
+    Ok(())
 }
 
 fn router(host: Arc<Host>) -> Router {
@@ -60,8 +62,7 @@
         .route("/v1/selectors", get(selectors))
         .route("/v1/changes", post(change))
         .route("/v1/events", get(events))
-        .layer(middleware::from_fn_with_state(host.clone(), authorize))
-        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES));
+        .layer(middleware::from_fn_with_state(host.clone(), authorize));
     Router::new()
         .route("/metrics", get(metrics))
         .route("/healthz", get(healthz))
@@ -135,13 +136,11 @@
 
 async fn change(
     State(host): State<Arc<Host>>,
+    ConnectInfo(peer): ConnectInfo<Peer>,
     request: Request,
 ) -> Result<(StatusCode, Json<ChangeAnswer>), ErrorResponse> {
-    let body = Bytes::from_request(request, &()).await.map_err(|err| {
-        let too_large = err.status() == StatusCode::PAYLOAD_TOO_LARGE;
-        let kind = if too_large { Kind::TooLarge } else { Kind::BadRequest };
-        Error::new(kind, err.body_text())
-    })?;
+    let body = memory::collect(&host.memory, peer.ip(), request.into_body(), MAX_BODY_BYTES).await;
+    let body = body.map_err(|refusal| Error::new(refusal_kind(refusal), <&str>::from(refusal)))?;
     let bad_request = |err: String| Error::new(Kind::BadRequest, err);
     let request: ChangeRequest =
         serde_json::from_slice(&body).map_err(|err| bad_request(err.to_string()))?;
@@ -156,6 +155,14 @@
     Ok(change_response(&host, reply))
 }
 
+fn refusal_kind(refusal: Refusal) -> Kind {
+    match refusal {
+        Refusal::BodyTooLong => Kind::TooLarge,
+        Refusal::BodyTooSlow | Refusal::BodyIncomplete => Kind::BadRequest,
+        Refusal::MemoryShort => Kind::Overloaded,
+    }
+}
+
 /// Submits a change, and retries under the same id while there is no leader or the leader changes.
 async fn submit_with_retries(host: &Host, submit: Submit) -> Result<Reply, Error> {
     let end = Instant::now() + SUBMIT_TIMEOUT;
--- a/src/descriptors.rs
+++ b/src/descriptors.rs
@@ -20,6 +20,11 @@
     getrlimit(Resource::Nofile).current.map_or(configured, |it| it.min(configured))
 }
 
+/// A part of the descriptors that this process may have open, of which `configured` are allowed.
+pub fn share(configured: u64, percent: u64) -> usize {
+    (limit(configured) * percent / 100) as usize
+}
+
 /// The number of open descriptors, for the log. None if it cannot be found out, which takes a descriptor.
 pub fn open_count() -> Option<usize> {
     let entries = std::fs::read_dir("/proc/self/fd").ok()?;
--- a/src/inbound/http.rs
+++ b/src/inbound/http.rs
@@ -48,6 +48,13 @@
     pub(super) evicted: Arc<Notify>,
 }
 
+impl Peer {
+    /// Its IP address.
+    pub fn ip(&self) -> IpAddr {
+        self.ip
+    }
+}
+
 /// Accepts a bounded number of connections.
 pub struct HttpListener {
     inner: Listener,
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -100,7 +100,7 @@
 
     /// The number of connections that callers may keep open.
     pub(super) fn max_callers(&self) -> usize {
-        (descriptors::limit(self.max_descriptors) * CALLERS_PERCENT / 100) as usize
+        descriptors::share(self.max_descriptors, CALLERS_PERCENT)
     }
 
     /// The region of an availability zone, or the zone itself if its region is unknown.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,7 +10,13 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use strum::{Display, EnumString};
 
-use crate::state::{Holding, Labels, check_name};
+use crate::{
+    descriptors, memory,
+    state::{Holding, Labels, check_name},
+};
+
+/// The share of a control host's descriptors for connections of operators, in percent.
+const OPERATORS_PERCENT: u64 = 5;
 
 /// An invalid, missing or unknown key of a settings file.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -201,6 +207,17 @@
     pub snapshot_entries: u64,
     /// A snapshot replaces the log entries also when the log file is larger than this, in bytes.
     pub snapshot_bytes: u64,
+    /// The number of descriptors that the process may have open, if the operating system has no lower limit.
+    pub max_descriptors: u64,
+    /// The memory of the machine, in MB.
+    pub memory_mb: u64,
+}
+
+impl Control {
+    /// The number of connections of operators.
+    pub(crate) fn max_operators(&self) -> usize {
+        descriptors::share(self.max_descriptors, OPERATORS_PERCENT)
+    }
 }
 
 impl Settings for Control {
@@ -227,6 +244,8 @@
             voters: rdr.number("voters", 0, 0, 21),
             snapshot_entries: rdr.number("snapshot_entries", 1_000, 10, 1_000_000),
             snapshot_bytes: rdr.number("snapshot_bytes", 8 << 20, 1 << 20, 1 << 30),
+            max_descriptors: rdr.number("max_descriptors", 4_096, 64, 1 << 20),
+            memory_mb: rdr.number("memory_mb", memory::DEFAULT_MEMORY_MB, 32, 1 << 20),
         }
     }
 }
