Connections to the internal ports are bounded

A process that has none left accepts no callers either.

These listeners admitted whatever connected. They now use the bound of the other listeners: 40% of the descriptors of a control host, which its settings leave to relays and control hosts already, and 15% of those of a relay. The connection that has been idle longest makes room, and only one of the address that has most of them, so that a crowd does not close the connections of the system itself (descriptors::admit_from_crowd). A connection is busy while a request of it runs, and is not closed then.

--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -1,6 +1,12 @@
 //! RPC server of a control host, for entry hosts and for other control hosts.
 
-use std::{io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    pin::pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use futures::StreamExt;
 use socket2::{SockRef, TcpKeepalive};
@@ -17,7 +23,7 @@
     control::{driver::Input, host::Host},
     error::Result,
     event::{Event, Kind},
-    inbound::{FrameCodec, FrameStream, Listener},
+    inbound::{Connections, FrameCodec, FrameStream, Listener, Slot},
     raft::{Index, Message},
     state::Reply,
     wire::{
@@ -93,18 +99,20 @@
 /// Accepts connections until the future is dropped, which also cancels their requests.
 pub async fn serve(host: Arc<Host>, listen: SocketAddr) -> io::Result<()> {
     let mut listener = Listener::new(TcpListener::bind(listen).await?);
+    let connections = Arc::new(Connections::new("rpc", host.cfg.max_rpc_connections()));
     let mut tasks = JoinSet::new();
     loop {
         let (stream, addr) = listener.accept().await;
+        let Some(slot) = connections.admit_from(addr.ip(), Instant::now()) else { continue };
         let stream = FrameStream::new(stream, addr.ip(), host.memory.clone());
         let framed = Framed::new(stream, FrameCodec { max_bytes: MAX_FRAME_BYTES });
         let connection = Connection::new(framed, Codec::default());
-        drop(tasks.spawn(serve_connection(host.clone(), addr, connection)));
+        drop(tasks.spawn(serve_connection(host.clone(), slot, addr, connection)));
         while tasks.try_join_next().is_some() {}
     }
 }
 
-async fn serve_connection(host: Arc<Host>, addr: SocketAddr, connection: Connection) {
+async fn serve_connection(host: Arc<Host>, slot: Slot, addr: SocketAddr, connection: Connection) {
     let stream = connection.get_ref().get_ref().get_ref();
     let _ = stream.set_nodelay(true);
     let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_IDLE);
@@ -112,12 +120,25 @@
     let server = Server { host: host.clone() };
     let mut requests = pin!(BaseChannel::with_defaults(connection).requests());
     let mut running = JoinSet::new();
-    while let Some(request) = requests.next().await {
-        match request {
-            Ok(request) => drop(running.spawn(request.execute(server.clone().serve()))),
-            Err(err) => return record_invalid_data(&host, addr, &err),
+    loop {
+        tokio::select! {
+            // Writes responses, so it goes before the end of the connection.
+            biased;
+            request = requests.next() => match request {
+                Some(Ok(request)) => {
+                    slot.set_busy(true);
+                    drop(running.spawn(request.execute(server.clone().serve())));
+                }
+                Some(Err(err)) => return record_invalid_data(&host, addr, &err),
+                None => return,
+            },
+            Some(_) = running.join_next() => {
+                if running.is_empty() {
+                    slot.set_busy(false);
+                }
+            }
+            () = slot.close_requested(), if running.is_empty() => return,
         }
-        while running.try_join_next().is_some() {}
     }
 }
 
--- a/src/inbound.rs
+++ b/src/inbound.rs
@@ -7,8 +7,9 @@
 mod write;
 
 use std::{
+    collections::HashMap,
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -88,6 +89,15 @@
     }
 }
 
+/// The sender with the most connections.
+fn largest_sender(senders: impl IntoIterator<Item = Option<IpAddr>>) -> Option<IpAddr> {
+    let mut counts = HashMap::<IpAddr, usize>::new();
+    for sender in senders.into_iter().flatten() {
+        *counts.entry(sender).or_default() += 1;
+    }
+    counts.into_iter().max_by_key(|(sender, count)| (*count, *sender)).map(|(sender, _)| sender)
+}
+
 /// Counts repetitions of a log line and tells when it is due.
 #[derive(Default)]
 pub struct LogLimit {
@@ -149,6 +159,7 @@
 }
 
 struct Entry {
+    sender: Option<IpAddr>,
     activity: Activity,
     close: Arc<Notify>,
 }
@@ -176,12 +187,26 @@
 
     /// Counts a new connection until the guard is dropped. None if it must be closed.
     pub fn admit(self: &Arc<Self>, now: Instant) -> Option<Slot> {
+        self.admit_for(None, now)
+    }
+
+    /// Like [`Self::admit`], but only connections of the sender that has most of them are closed for it.
+    pub fn admit_from(self: &Arc<Self>, sender: IpAddr, now: Instant) -> Option<Slot> {
+        self.admit_for(Some(sender), now)
+    }
+
+    fn admit_for(self: &Arc<Self>, sender: Option<IpAddr>, now: Instant) -> Option<Slot> {
         let mut state = self.state.lock();
         let State { open, closed, refused } = &mut *state;
         let admission = if open.len() < self.max {
             Admission::Admit
         } else {
-            admit(open.iter().map(|(key, it)| (key, it.activity)), self.max)
+            let largest = largest_sender(open.values().map(|it| it.sender));
+            let activity = |it: &Entry| match it.activity {
+                Activity::Idle(_) if it.sender != largest => Activity::Busy,
+                activity => activity,
+            };
+            admit(open.iter().map(|(key, it)| (key, activity(it))), self.max)
         };
         let line = match admission {
             Admission::Admit => None,
@@ -194,7 +219,7 @@
             Admission::Refuse => refused.record(now).map(|it| ("refused", it)),
         };
         let close = Arc::new(Notify::new());
-        let entry = Entry { activity: Activity::Idle(now), close: close.clone() };
+        let entry = Entry { sender, activity: Activity::Idle(now), close: close.clone() };
         let key = (admission != Admission::Refuse).then(|| open.insert(entry));
         let count = open.len();
         drop(state);
@@ -239,7 +264,8 @@
         self.close.clone().notified_owned()
     }
 
-    fn set_busy(&self, is_busy: bool) {
+    /// Records whether a request is running.
+    pub fn set_busy(&self, is_busy: bool) {
         let activity = if is_busy { Activity::Busy } else { Activity::Idle(Instant::now()) };
         self.connections.set(self.key, activity);
     }
--- a/src/relay/delegate.rs
+++ b/src/relay/delegate.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    inbound::{FrameStream, Listener},
+    inbound::{Connections, FrameStream, Listener, Slot},
     relay::{
         call,
         gather::ShardResults,
@@ -36,22 +36,35 @@
 /// Accepts connections until the future is dropped. Connections that are already open keep running.
 pub(super) async fn serve(host: Arc<Host>, listener: TcpListener) {
     let mut listener = Listener::new(listener);
+    let connections = Arc::new(Connections::new("relays", host.cfg.max_relay_connections()));
     loop {
         let (stream, addr) = listener.accept().await;
+        let Some(slot) = connections.admit_from(addr.ip(), Instant::now()) else { continue };
         let host = host.clone();
         tokio::spawn(async move {
-            if let Err(err) = serve_connection(&host, stream, addr.ip()).await {
+            if let Err(err) = serve_connection(&host, &slot, stream, addr.ip()).await {
                 log::debug!("event=peer_closed cause={err:?}");
             }
         });
     }
 }
 
-async fn serve_connection(host: &Arc<Host>, stream: TcpStream, peer: IpAddr) -> io::Result<()> {
+async fn serve_connection(
+    host: &Arc<Host>,
+    slot: &Slot,
+    stream: TcpStream,
+    peer: IpAddr,
+) -> io::Result<()> {
     let stream = FrameStream::new(stream, peer, host.memory.clone());
     let mut conn = PeerConnection::accepted(stream)?;
     loop {
-        match timeout(IDLE_TIMEOUT, conn.receive()).await?? {
+        let message = tokio::select! {
+            biased;
+            message = timeout(IDLE_TIMEOUT, conn.receive()) => message??,
+            () = slot.close_requested() => return Ok(()),
+        };
+        let _guard = slot.start_request();
+        match message {
             Message::Ping => conn.send(&Reply::Accepted).await?,
             Message::Detach => return Ok(()),
             Message::Quota(it) => conn.send(&Reply::Quota(host.quotas.serve(host, &it))).await?,
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -19,6 +19,9 @@
 /// control hosts.
 const CALLERS_PERCENT: u64 = 60;
 
+/// The share of the descriptors that connections of other relays may use, in percent.
+const RELAYS_PERCENT: u64 = 15;
+
 /// Names of the headers that callers, relays and targets exchange.
 #[derive(Clone, Debug)]
 pub struct Headers {
@@ -103,6 +106,11 @@
         descriptors::share(self.max_descriptors, CALLERS_PERCENT)
     }
 
+    /// The number of connections that other relays may keep open.
+    pub(super) fn max_relay_connections(&self) -> usize {
+        descriptors::share(self.max_descriptors, RELAYS_PERCENT)
+    }
+
     /// The region of an availability zone, or the zone itself if its region is unknown.
     pub fn region<'a>(&'a self, zone: &'a str) -> &'a str {
         self.regions.get(zone).map_or(zone, String::as_str)
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,6 +15,9 @@
     state::{Holding, Labels, check_name},
 };
 
+/// The share of a control host's descriptors for RPC connections of other processes of the system, in percent.
+const RPC_PERCENT: u64 = 40;
+
 /// The share of a control host's descriptors for connections of operators, in percent.
 const OPERATORS_PERCENT: u64 = 5;
 
@@ -214,6 +217,11 @@
 }
 
 impl Control {
+    /// The number of RPC connections of other processes of the system.
+    pub(crate) fn max_rpc_connections(&self) -> usize {
+        descriptors::share(self.max_descriptors, RPC_PERCENT)
+    }
+
     /// The number of connections of operators.
     pub(crate) fn max_operators(&self) -> usize {
         descriptors::share(self.max_descriptors, OPERATORS_PERCENT)
--- a/tests/relay/descriptors.rs
+++ b/tests/relay/descriptors.rs
@@ -1,15 +1,16 @@
 //! Connections that callers keep, of which there are more than the relay may have open.
 
 use std::{
+    net::IpAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use futures::future::join_all;
+use futures::{FutureExt, future::join_all};
 use gentianpass::{
     control::Client,
     descriptors,
-    inbound::{Activity, Admission, LogLimit, admit},
+    inbound::{Activity, Admission, Connections, LogLimit, Slot, admit},
     relay::IdleConnections,
     route::Kind,
 };
@@ -41,6 +42,25 @@
     assert_eq!(choose(&[Activity::Closing, idle(1), idle(2), idle(3)]), Admission::Refuse);
 }
 
+/// Guards against a crowd whose connections close those of other processes of the system.
+#[test]
+fn admit_from_crowd() {
+    let connections = Arc::new(Connections::new("test", 4));
+    let [process, other, crowd] = [1, 2, 3].map(|it| IpAddr::from([10, 0, 0, it]));
+    let start = Instant::now();
+    let admit = |sender, ms| connections.admit_from(sender, start + Duration::from_millis(ms));
+    let is_closing = |slot: &Slot| slot.close_requested().now_or_never().is_some();
+    let kept = [process, other].map(|it| admit(it, 0).unwrap());
+    let first = [1, 2].map(|it| admit(crowd, it).unwrap());
+    let next = admit(crowd, 3).unwrap();
+    assert!(is_closing(&first[0]) && !is_closing(&first[1]));
+    assert!(!kept.iter().any(is_closing));
+    // A process that connects again gets the place of one of the crowd.
+    let again = admit(process, 4).unwrap();
+    assert!(is_closing(&first[1]));
+    assert!(![&next, &again].into_iter().chain(&kept).any(is_closing));
+}
+
 /// Guards against a log with a line for each failure: a relay without descriptors cannot accept a connection a hundred
 /// times a second.
 #[test]
