Receive buffers are bounded by the memory of the machine

Bytes that have arrived and are not read count as memory; with the limits in use, 2,340 connections could hold 270 MB in the kernel of a machine of 260 MB.

The kernel sizes these buffers for one fast connection, not for the number of them. Listeners for callers, instances, look-ups and operators now set them to 15% of memoryMb over the connections that they may have, from 8 to 32 KiB each.

A receive buffer bounds the window. The internal ports keep the kernel's buffers.

--- a/src/control/http.rs
+++ b/src/control/http.rs
@@ -49,7 +49,9 @@
     stop: oneshot::Receiver<()>,
 ) -> io::Result<()> {
     let listener = TcpListener::bind(listen).await?;
-    let listener = HttpListener::new(listener, "operators", host.cfg.max_operators());
+    let max = host.cfg.max_operators();
+    let receive_bytes = memory::receive_bytes(host.cfg.memory_mb, max);
+    let listener = HttpListener::new(listener, "operators", max, receive_bytes);
     inbound::serve(listener, router(host), async { drop(stop.await) }).await;
     Ok(())
 }
--- a/src/inbound.rs
+++ b/src/inbound.rs
@@ -16,6 +16,7 @@
 
 use parking_lot::Mutex;
 use slotmap::{SlotMap, new_key_type};
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Notify, futures::OwnedNotified},
@@ -131,6 +132,15 @@
         Self { inner, failures: LogLimit::default() }
     }
 
+    /// Like [`Self::new`], with receive buffers of this size. Bytes that have arrived and are not read count as memory of the
+    /// machine, and the kernel takes up to megabytes of them on each connection otherwise.
+    pub fn with_receive_buffers(inner: TcpListener, bytes: usize) -> Self {
+        if let Err(err) = SockRef::from(&inner).set_recv_buffer_size(bytes) {
+            log::warn!("event=receive_buffer_unset bytes={bytes} cause={:?}", err.to_string());
+        }
+        Self::new(inner)
+    }
+
     /// Accepts the next connection, but none before the reserve of descriptors is whole.
     pub async fn accept(&mut self) -> (TcpStream, SocketAddr) {
         loop {
--- a/src/inbound/http.rs
+++ b/src/inbound/http.rs
@@ -62,10 +62,10 @@
 }
 
 impl HttpListener {
-    /// At most `max` connections; `kind` names them in the log.
-    pub fn new(inner: TcpListener, kind: &'static str, max: usize) -> Self {
+    /// At most `max` connections with receive buffers of this size; `kind` names them in the log.
+    pub fn new(inner: TcpListener, kind: &'static str, max: usize, receive_bytes: usize) -> Self {
         let connections = Arc::new(Connections::new(kind, max));
-        Self { inner: Listener::new(inner), connections }
+        Self { inner: Listener::with_receive_buffers(inner, receive_bytes), connections }
     }
 
     async fn accept(&mut self) -> (HttpStream, SocketAddr) {
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -36,6 +36,14 @@
 /// Bodies and responses up to this length are not counted and never refused for lack of memory, in bytes.
 pub const SMALL_BYTES: usize = 8 << 10;
 
+/// The part of the memory that the receive buffers of all connections from outside may take, in percent. The kernel takes
+/// up to twice the size that is set.
+const RECEIVE_PERCENT: u64 = 15;
+
+/// The smallest and the largest receive buffer, in bytes.
+const MIN_RECEIVE_BYTES: usize = 8 << 10;
+const MAX_RECEIVE_BYTES: usize = 32 << 10;
+
 /// When a caller may come back after a refusal for lack of memory. Bodies that make no progress are refused within seconds.
 pub const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -49,6 +57,12 @@
     usize::try_from((memory_mb << 20) * ACCOUNT_PERCENT / 100).unwrap_or(usize::MAX)
 }
 
+/// The size of the receive buffer of each of `connections` in a process with this memory.
+pub fn receive_bytes(memory_mb: u64, connections: usize) -> usize {
+    let all = usize::try_from((memory_mb << 20) * RECEIVE_PERCENT / 100).unwrap_or(usize::MAX);
+    (all / connections.max(1)).clamp(MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES)
+}
+
 /// What a guard and the account share.
 struct Share {
     bytes: AtomicUsize,
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -49,7 +49,7 @@
 /// Accepts connections until `Host::stop_accepting` is signalled, then those that wait in the backlog: closing the
 /// listener would reset them, although their requests may have arrived. Connections that are open keep running.
 pub(super) async fn serve(host: Arc<Host>, listener: TcpListener) {
-    let mut listener = Listener::new(listener);
+    let mut listener = Listener::with_receive_buffers(listener, host.cfg.receive_bytes());
     loop {
         let (stream, addr) = tokio::select! {
             accepted = listener.accept() => accepted,
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -4,7 +4,7 @@
 
 use hyper::header::HeaderName;
 
-use crate::{descriptors, policy::quota};
+use crate::{descriptors, memory, policy::quota};
 
 /// Default of [`Settings::max_config_age`].
 pub const DEFAULT_MAX_CONFIG_AGE: Duration = Duration::from_millis(3_000);
@@ -106,6 +106,11 @@
         descriptors::share(self.max_descriptors, CALLERS_PERCENT)
     }
 
+    /// The size of the receive buffer of each connection of a caller, in bytes.
+    pub fn receive_bytes(&self) -> usize {
+        memory::receive_bytes(self.memory_mb, self.max_callers())
+    }
+
     /// The number of connections that other relays may keep open.
     pub(super) fn max_relay_connections(&self) -> usize {
         descriptors::share(self.max_descriptors, RELAYS_PERCENT)
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -11,7 +11,9 @@
 use bytes::Bytes;
 use futures::{StreamExt, stream};
 use gentianpass::{
-    memory::{Account, Holding, Progress, Refusal, SMALL_BYTES, Stage, choose, collect},
+    memory::{
+        Account, Holding, Progress, Refusal, SMALL_BYTES, Stage, choose, collect, receive_bytes,
+    },
     metric::Registry,
 };
 use http_body_util::{Full, StreamBody};
@@ -145,3 +147,11 @@
     let small = account.hold_response(caller(1), vec![0; SMALL_BYTES].into(), &connections[0]);
     assert_eq!((account.held(), small.len()), (0, SMALL_BYTES));
 }
+
+#[test]
+fn receive_bytes_bounds() {
+    assert_eq!(receive_bytes(260, 2_340), 17_476);
+    assert_eq!(receive_bytes(260, 20), 32 << 10);
+    assert_eq!(receive_bytes(32, 10_000), 8 << 10);
+    assert_eq!(receive_bytes(64, 0), 32 << 10);
+}
