Relay: callers whose heads do not end make room for others

Callers with a part of a head on as many connections as a relay takes kept all others out until their heads timed out (idleTimeoutMs and headerTimeoutMs, 18 s), and again after that: a new connection was reset (descriptors::unfinished_heads_make_room, IncompleteMessage before).

Such a connection was chosen to make room and told to shut down, which hyper does after the request whose head is arriving. They counted as closing, and beyond a quarter of the bound nothing was admitted.

A connection on which no request has arrived is now closed at once when it is chosen.

--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -120,7 +120,13 @@
         // The caller does not take its response, and the memory is short.
         () = evicted.notified() => return,
         () = &mut shutdown => None,
-        () = slot.close_requested() => None,
+        // A head that is not complete would keep the connection until its time limit.
+        () = slot.close_requested() => {
+            if !used.load(Ordering::Relaxed) {
+                return;
+            }
+            None
+        }
     };
     let result = match ended {
         Some(result) => result,
--- a/tests/relay/descriptors.rs
+++ b/tests/relay/descriptors.rs
@@ -145,6 +145,24 @@
     assert_eq!(harness.get("/one/x").await.0, StatusCode::OK);
 }
 
+/// Guards against callers whose heads do not end and keep others out until they time out.
+#[tokio::test]
+async fn unfinished_heads_make_room() {
+    let (harness, _target) = start().await;
+    let mut kept = Vec::new();
+    for _ in 0..3 * MAX_CALLERS {
+        let mut stream = TcpStream::connect(harness.addr).await.unwrap();
+        stream.write_all(b"GET /one/x HTTP/1.1\r\nhost: labels").await.unwrap();
+        kept.push(stream);
+        // The relay has read the bytes before it admits the next one.
+        sleep(Duration::from_millis(2)).await;
+    }
+    assert_eq!(harness.get("/one/x").await.0, StatusCode::OK);
+    let open = join_all(kept.iter_mut().map(received)).await;
+    assert!(open.iter().all(|(text, _)| text.is_empty()));
+    assert!(open.iter().filter(|(_, is_open)| *is_open).count() < MAX_CALLERS);
+}
+
 /// Guards against connections that stay open for ever below the one that is reused again and again, and against a number
 /// without a bound after a burst.
 #[test]
