Endpoints: clients whose heads do not end make room for others

Clients with a part of a head on as many connections as an endpoint takes (configuration, look-ups, operators) kept all others out until they timed out after 20 s, and again after that: a new connection was reset (endpoints::unfinished_heads_make_room in tests/memory, ECONNRESET before).

Any byte made a connection busy, and busy connections do not make room. A connection is now busy from its first complete head on, and ends for its reader when it is chosen before that. Later heads on a kept connection count as before.

--- a/src/inbound/http.rs
+++ b/src/inbound/http.rs
@@ -5,7 +5,10 @@
     io::{self, IoSlice},
     net::{IpAddr, SocketAddr},
     pin::{Pin, pin},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll, ready},
     time::{Duration, Instant},
 };
@@ -89,8 +92,12 @@
             () = &mut stop => break,
         };
         let peer = Peer { ip: addr.ip(), evicted: stream.evicted.clone() };
+        let (slot, has_request) = (stream.slot.clone(), stream.has_request.clone());
         let router = router.clone();
         let service = service_fn(move |request: Request<Incoming>| {
+            if !has_request.swap(true, Ordering::Relaxed) {
+                slot.set_busy(true);
+            }
             let mut request = request.map(Body::new);
             request.extensions_mut().insert(ConnectInfo(peer.clone()));
             router.clone().oneshot(request)
@@ -118,7 +125,9 @@
     close: Pin<Box<OwnedNotified>>,
     evicted: Arc<Notify>,
     evict: Pin<Box<OwnedNotified>>,
-    slot: Slot,
+    slot: Arc<Slot>,
+    /// Whether the head of a request has arrived.
+    has_request: Arc<AtomicBool>,
     /// Whether a request has arrived, in whole or in part, that has no response yet.
     is_busy: bool,
     /// Whether a part of that response was written.
@@ -138,16 +147,20 @@
             close,
             evicted,
             evict,
-            slot,
+            slot: Arc::new(slot),
+            has_request: Arc::default(),
             is_busy: false,
             has_written: false,
             is_closing: false,
         }
     }
 
+    /// The first head may be one that does not end: it makes no connection busy before it is complete.
     fn set_busy(&mut self, is_busy: bool) {
         (self.is_busy, self.has_written) = (is_busy, false);
-        self.slot.set_busy(is_busy);
+        if self.has_request.load(Ordering::Relaxed) {
+            self.slot.set_busy(is_busy);
+        }
     }
 
     /// Passes on the result of a write, or fails if it waits for too long or must release its memory.
@@ -191,7 +204,7 @@
         if !self.is_closing && self.close.as_mut().poll(cx).is_ready() {
             self.is_closing = true;
         }
-        if self.is_closing && !self.is_busy {
+        if self.is_closing && !(self.is_busy && self.has_request.load(Ordering::Relaxed)) {
             return Poll::Ready(Ok(()));
         }
         ready!(self.idle.as_mut().poll(cx));
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -1,5 +1,6 @@
 //! What requests may hold: the decision which of them is refused, and the reception of bodies.
 
+mod endpoints;
 mod frames;
 
 use std::{
