--- a/src/inbound.rs
+++ b/src/inbound.rs
@@ -2,18 +2,21 @@
 //! a relay that cannot connect to a control host serves an old configuration.
 
 mod body;
+mod frame;
 mod http;
 mod write;
 
 use std::{
+    collections::HashMap,
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use parking_lot::Mutex;
 use slotmap::{SlotMap, new_key_type};
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Notify, futures::OwnedNotified},
@@ -23,7 +26,8 @@
 use crate::descriptors::RESERVE;
 
 pub use body::{Bound, receive};
-pub use http::{HttpListener, HttpStream, Peer};
+pub use frame::{Arrival, FrameCodec, FrameStream};
+pub use http::{HttpListener, HttpStream, Peer, serve};
 pub use write::WriteLimit;
 
 /// Minimum time between two lines that tell the same.
@@ -86,6 +90,15 @@
     }
 }
 
+/// The sender with the most connections.
+fn largest_sender(senders: impl IntoIterator<Item = Option<IpAddr>>) -> Option<IpAddr> {
+    let mut counts = HashMap::<IpAddr, usize>::new();
+    for sender in senders.into_iter().flatten() {
+        *counts.entry(sender).or_default() += 1;
+    }
+    counts.into_iter().max_by_key(|(sender, count)| (*count, *sender)).map(|(sender, _)| sender)
+}
+
 /// Counts repetitions of a log line and tells when it is due.
 #[derive(Default)]
 pub struct LogLimit {
@@ -119,6 +132,15 @@
         Self { inner, failures: LogLimit::default() }
     }
 
+    /// Like [`Self::new`], with receive buffers of this size. Bytes that have arrived and are not read count as memory of the
+    /// machine, and the kernel takes up to megabytes of them on each connection otherwise.
+    pub fn with_receive_buffers(inner: TcpListener, bytes: usize) -> Self {
+        if let Err(err) = SockRef::from(&inner).set_recv_buffer_size(bytes) {
+            log::warn!("event=receive_buffer_unset bytes={bytes} cause={:?}", err.to_string());
+        }
+        Self::new(inner)
+    }
+
     /// Accepts the next connection, but none before the reserve of descriptors is whole.
     pub async fn accept(&mut self) -> (TcpStream, SocketAddr) {
         loop {
@@ -147,6 +169,7 @@
 }
 
 struct Entry {
+    sender: Option<IpAddr>,
     activity: Activity,
     close: Arc<Notify>,
 }
@@ -174,12 +197,26 @@
 
     /// Counts a new connection until the guard is dropped. None if it must be closed.
     pub fn admit(self: &Arc<Self>, now: Instant) -> Option<Slot> {
+        self.admit_for(None, now)
+    }
+
+    /// Like [`Self::admit`], but only connections of the sender that has most of them are closed for it.
+    pub fn admit_from(self: &Arc<Self>, sender: IpAddr, now: Instant) -> Option<Slot> {
+        self.admit_for(Some(sender), now)
+    }
+
+    fn admit_for(self: &Arc<Self>, sender: Option<IpAddr>, now: Instant) -> Option<Slot> {
         let mut state = self.state.lock();
         let State { open, closed, refused } = &mut *state;
         let admission = if open.len() < self.max {
             Admission::Admit
         } else {
-            admit(open.iter().map(|(key, it)| (key, it.activity)), self.max)
+            let largest = largest_sender(open.values().map(|it| it.sender));
+            let activity = |it: &Entry| match it.activity {
+                Activity::Idle(_) if it.sender != largest => Activity::Busy,
+                activity => activity,
+            };
+            admit(open.iter().map(|(key, it)| (key, activity(it))), self.max)
         };
         let line = match admission {
             Admission::Admit => None,
@@ -192,7 +229,7 @@
             Admission::Refuse => refused.record(now).map(|it| ("refused", it)),
         };
         let close = Arc::new(Notify::new());
-        let entry = Entry { activity: Activity::Idle(now), close: close.clone() };
+        let entry = Entry { sender, activity: Activity::Idle(now), close: close.clone() };
         let key = (admission != Admission::Refuse).then(|| open.insert(entry));
         let count = open.len();
         drop(state);
@@ -237,7 +274,8 @@
         self.close.clone().notified_owned()
     }
 
-    fn set_busy(&self, is_busy: bool) {
+    /// Records whether a request is running.
+    pub fn set_busy(&self, is_busy: bool) {
         let activity = if is_busy { Activity::Busy } else { Activity::Idle(Instant::now()) };
         self.connections.set(self.key, activity);
     }
--- a/src/inbound/http.rs
+++ b/src/inbound/http.rs
@@ -1,22 +1,31 @@
-//! Listener for axum whose connections are bounded and closed when they are idle.
+//! HTTP/1.1 server for routers whose connections are bounded and closed when they are idle.
 
 use std::{
     future::Future,
     io::{self, IoSlice},
     net::{IpAddr, SocketAddr},
-    pin::Pin,
-    sync::Arc,
+    pin::{Pin, pin},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll, ready},
     time::{Duration, Instant},
 };
 
-use axum::{extract::connect_info::Connected, serve::IncomingStream};
+use axum::{Router, body::Body, extract::ConnectInfo};
+use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
     sync::{Notify, futures::OwnedNotified},
     time::{Sleep, sleep},
 };
+use tower::ServiceExt;
 
 use crate::inbound::{Connections, Listener, Slot};
 
@@ -24,8 +33,14 @@
 /// two, and no request takes as long.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// The most that is read at once, in bytes. It is below the first size of hyper's read buffers, which grow to 400 KiB when a
-/// read fills them, and stay as large while the connection is idle.
+/// The longest head of a request, in bytes. It bounds the read buffer of a connection.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+
+/// How long the head of a request may take to arrive, from the end of the previous response on.
+const HEAD_TIMEOUT: Duration = IDLE_TIMEOUT;
+
+/// The most that is read at once, in bytes. It is below the first size of hyper's read buffers, which grow when a read fills
+/// them, and stay as large while the connection is idle.
 const READ_BYTES: usize = 4 << 10;
 
 /// The other end of a connection.
@@ -36,9 +51,10 @@
     pub(super) evicted: Arc<Notify>,
 }
 
-impl Connected<IncomingStream<'_, HttpListener>> for Peer {
-    fn connect_info(stream: IncomingStream<'_, HttpListener>) -> Self {
-        Self { ip: stream.remote_addr().ip(), evicted: stream.io().evicted.clone() }
+impl Peer {
+    /// Its IP address.
+    pub fn ip(&self) -> IpAddr {
+        self.ip
     }
 }
 
@@ -49,18 +65,13 @@
 }
 
 impl HttpListener {
-    /// At most `max` connections; `kind` names them in the log.
-    pub fn new(inner: TcpListener, kind: &'static str, max: usize) -> Self {
+    /// At most `max` connections with receive buffers of this size; `kind` names them in the log.
+    pub fn new(inner: TcpListener, kind: &'static str, max: usize, receive_bytes: usize) -> Self {
         let connections = Arc::new(Connections::new(kind, max));
-        Self { inner: Listener::new(inner), connections }
+        Self { inner: Listener::with_receive_buffers(inner, receive_bytes), connections }
     }
-}
-
-impl axum::serve::Listener for HttpListener {
-    type Io = HttpStream;
-    type Addr = SocketAddr;
 
-    async fn accept(&mut self) -> (Self::Io, Self::Addr) {
+    async fn accept(&mut self) -> (HttpStream, SocketAddr) {
         loop {
             let (stream, addr) = self.inner.accept().await;
             if let Some(slot) = self.connections.admit(Instant::now()) {
@@ -68,10 +79,43 @@
             }
         }
     }
+}
 
-    fn local_addr(&self) -> io::Result<Self::Addr> {
-        self.inner.local_addr()
+/// Serves a router until `stop` completes, and then until the requests in progress have ended. HTTP/2 is not spoken: what a
+/// connection holds is bounded because it carries one request at a time.
+pub async fn serve(mut listener: HttpListener, router: Router, stop: impl Future<Output = ()>) {
+    let connections = GracefulShutdown::new();
+    let mut stop = pin!(stop);
+    loop {
+        let (stream, addr) = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut stop => break,
+        };
+        let peer = Peer { ip: addr.ip(), evicted: stream.evicted.clone() };
+        let (slot, has_request) = (stream.slot.clone(), stream.has_request.clone());
+        let router = router.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            if !has_request.swap(true, Ordering::Relaxed) {
+                slot.set_busy(true);
+            }
+            let mut request = request.map(Body::new);
+            request.extensions_mut().insert(ConnectInfo(peer.clone()));
+            router.clone().oneshot(request)
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .max_buf_size(MAX_HEAD_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
+        let connection = connections.watch(connection);
+        tokio::spawn(async move {
+            if let Err(err) = connection.await {
+                log::debug!("event=connection_ended cause={err:?}");
+            }
+        });
     }
+    drop(listener);
+    connections.shutdown().await;
 }
 
 /// A connection that ends for its reader once it was idle for too long, or has to make room while no request runs.
@@ -81,7 +125,9 @@
     close: Pin<Box<OwnedNotified>>,
     evicted: Arc<Notify>,
     evict: Pin<Box<OwnedNotified>>,
-    slot: Slot,
+    slot: Arc<Slot>,
+    /// Whether the head of a request has arrived.
+    has_request: Arc<AtomicBool>,
     /// Whether a request has arrived, in whole or in part, that has no response yet.
     is_busy: bool,
     /// Whether a part of that response was written.
@@ -101,16 +147,20 @@
             close,
             evicted,
             evict,
-            slot,
+            slot: Arc::new(slot),
+            has_request: Arc::default(),
             is_busy: false,
             has_written: false,
             is_closing: false,
         }
     }
 
+    /// The first head may be one that does not end: it makes no connection busy before it is complete.
     fn set_busy(&mut self, is_busy: bool) {
         (self.is_busy, self.has_written) = (is_busy, false);
-        self.slot.set_busy(is_busy);
+        if self.has_request.load(Ordering::Relaxed) {
+            self.slot.set_busy(is_busy);
+        }
     }
 
     /// Passes on the result of a write, or fails if it waits for too long or must release its memory.
@@ -154,7 +204,7 @@
         if !self.is_closing && self.close.as_mut().poll(cx).is_ready() {
             self.is_closing = true;
         }
-        if self.is_closing && !self.is_busy {
+        if self.is_closing && !(self.is_busy && self.has_request.load(Ordering::Relaxed)) {
             return Poll::Ready(Ok(()));
         }
         ready!(self.idle.as_mut().poll(cx));
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -1,5 +1,5 @@
-//! Bounds the bytes that the requests of a process hold: bodies, delegated messages, and responses that callers have not
-//! taken. What is shorter than [`SMALL_BYTES`] does not count: a connection holds at most one body and one response, so
+//! Bounds the bytes that the requests of a process hold: bodies, frames and delegated messages, and responses that callers
+//! have not taken. What is shorter than [`SMALL_BYTES`] does not count: a connection holds at most one body and one response, so
 //! that their number bounds it.
 
 mod body;
@@ -36,6 +36,14 @@
 /// Bodies and responses up to this length are not counted and never refused for lack of memory, in bytes.
 pub const SMALL_BYTES: usize = 8 << 10;
 
+/// The part of the memory that the receive buffers of all connections from outside may take, in percent. The kernel takes
+/// up to twice the size that is set.
+const RECEIVE_PERCENT: u64 = 15;
+
+/// The smallest and the largest receive buffer, in bytes.
+const MIN_RECEIVE_BYTES: usize = 8 << 10;
+const MAX_RECEIVE_BYTES: usize = 32 << 10;
+
 /// When a caller may come back after a refusal for lack of memory. Bodies that make no progress are refused within seconds.
 pub const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -49,6 +57,12 @@
     usize::try_from((memory_mb << 20) * ACCOUNT_PERCENT / 100).unwrap_or(usize::MAX)
 }
 
+/// The size of the receive buffer of each of `connections` in a process with this memory.
+pub fn receive_bytes(memory_mb: u64, connections: usize) -> usize {
+    let all = usize::try_from((memory_mb << 20) * RECEIVE_PERCENT / 100).unwrap_or(usize::MAX);
+    (all / connections.max(1)).clamp(MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES)
+}
+
 /// What a guard and the account share.
 struct Share {
     bytes: AtomicUsize,
@@ -125,6 +139,11 @@
         self.start(caller, false, Arc::default())
     }
 
+    /// Holds a frame that is being received. `evicted` is notified when its connection must be closed.
+    pub fn start_frame(self: &Arc<Self>, sender: IpAddr, evicted: &Arc<Notify>) -> Guard {
+        self.start(sender, false, evicted.clone())
+    }
+
     /// Counts the body of a delegated message until the returned bytes are dropped. None if the memory is short.
     pub fn hold_message(self: &Arc<Self>, sender: IpAddr, body: Vec<u8>) -> Option<Bytes> {
         if body.len() <= SMALL_BYTES {
--- a/src/relay/delegate.rs
+++ b/src/relay/delegate.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    inbound::Listener,
+    inbound::{Connections, FrameStream, Listener, Slot},
     relay::{
         call,
         gather::ShardResults,
@@ -37,21 +37,35 @@
 /// Accepts connections until the future is dropped. Connections that are already open keep running.
 pub(super) async fn serve(host: Arc<Host>, listener: TcpListener) {
     let mut listener = Listener::new(listener);
+    let connections = Arc::new(Connections::new("relays", host.cfg.max_relay_connections()));
     loop {
         let (stream, addr) = listener.accept().await;
+        let Some(slot) = connections.admit_from(addr.ip(), Instant::now()) else { continue };
         let host = host.clone();
         tokio::spawn(async move {
-            if let Err(err) = serve_connection(&host, stream, addr.ip()).await {
+            if let Err(err) = serve_connection(&host, &slot, stream, addr.ip()).await {
                 log::debug!("event=peer_closed cause={err:?}");
             }
         });
     }
 }
 
-async fn serve_connection(host: &Arc<Host>, stream: TcpStream, peer: IpAddr) -> io::Result<()> {
-    let mut conn = PeerConnection::new(stream)?;
+async fn serve_connection(
+    host: &Arc<Host>,
+    slot: &Slot,
+    stream: TcpStream,
+    peer: IpAddr,
+) -> io::Result<()> {
+    let stream = FrameStream::new(stream, peer, host.memory.clone());
+    let mut conn = PeerConnection::accepted(stream)?;
     loop {
-        match timeout(IDLE_TIMEOUT, conn.receive()).await?? {
+        let message = tokio::select! {
+            biased;
+            message = timeout(IDLE_TIMEOUT, conn.receive()) => message??,
+            () = slot.close_requested() => return Ok(()),
+        };
+        let _guard = slot.start_request();
+        match message {
             Message::Ping => conn.send(&Reply::Accepted).await?,
             Message::Detach => return Ok(()),
             Message::Compare(it) => {
@@ -72,7 +86,7 @@
 
 async fn run_delegation(
     host: &Arc<Host>,
-    conn: &mut PeerConnection,
+    conn: &mut PeerConnection<FrameStream>,
     delegation: Delegation,
     peer: IpAddr,
     sender: Option<&Sender>,
@@ -132,7 +146,7 @@
 /// until all shards have ended, the soft deadline has passed or a shard has failed.
 async fn run_shards(
     host: &Arc<Host>,
-    conn: &mut PeerConnection,
+    conn: &mut PeerConnection<FrameStream>,
     query: &Arc<Query>,
     keys: &[ServiceKey],
     top: usize,
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -49,7 +49,7 @@
 /// Accepts connections until `Host::stop_accepting` is signalled, then those that wait in the backlog: closing the
 /// listener would reset them, although their requests may have arrived. Connections that are open keep running.
 pub(super) async fn serve(host: Arc<Host>, listener: TcpListener) {
-    let mut listener = Listener::new(listener);
+    let mut listener = Listener::with_receive_buffers(listener, host.cfg.receive_bytes());
     loop {
         let (stream, addr) = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -120,7 +120,13 @@
         // The caller does not take its response, and the memory is short.
         () = evicted.notified() => return,
         () = &mut shutdown => None,
-        () = slot.close_requested() => None,
+        // A head that is not complete would keep the connection until its time limit.
+        () = slot.close_requested() => {
+            if !used.load(Ordering::Relaxed) {
+                return;
+            }
+            None
+        }
     };
     let result = match ended {
         Some(result) => result,
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -4,7 +4,7 @@
 
 use hyper::header::HeaderName;
 
-use crate::{descriptors, policy::quota};
+use crate::{descriptors, memory, policy::quota};
 
 /// Default of [`Settings::max_config_age`].
 pub const DEFAULT_MAX_CONFIG_AGE: Duration = Duration::from_millis(3_000);
@@ -19,6 +19,9 @@
 /// control hosts.
 const CALLERS_PERCENT: u64 = 60;
 
+/// The share of the descriptors that connections of other relays may use, in percent.
+const RELAYS_PERCENT: u64 = 15;
+
 /// Names of the headers that callers, relays and targets exchange.
 #[derive(Clone, Debug)]
 pub struct Headers {
@@ -100,7 +103,17 @@
 
     /// The number of connections that callers may keep open.
     pub(super) fn max_callers(&self) -> usize {
-        (descriptors::limit(self.max_descriptors) * CALLERS_PERCENT / 100) as usize
+        descriptors::share(self.max_descriptors, CALLERS_PERCENT)
+    }
+
+    /// The size of the receive buffer of each connection of a caller, in bytes.
+    pub fn receive_bytes(&self) -> usize {
+        memory::receive_bytes(self.memory_mb, self.max_callers())
+    }
+
+    /// The number of connections that other relays may keep open.
+    pub(super) fn max_relay_connections(&self) -> usize {
+        descriptors::share(self.max_descriptors, RELAYS_PERCENT)
     }
 
     /// The region of an availability zone, or the zone itself if its region is unknown.
