Test that an older configuration of a relay does not get into the copy either

With the check of the revision left out of Host::adopt, the test passed: the view stays, the copy by which the relay polls does not. It fails now (metric adopted is 1), and passes on the code as it is.

--- a/tests/relay/neighbour_trust.rs
+++ b/tests/relay/neighbour_trust.rs
@@ -82,6 +82,8 @@
     sleep(Duration::from_millis(200)).await;
     assert_eq!(harness.get("/older/").await.0, StatusCode::NOT_FOUND);
     assert_ne!(harness.get("/old/").await.0, StatusCode::NOT_FOUND);
+    let adopted = "gentianpass_relay_config_faults_total{fault=\"adopted\"}";
+    assert_eq!(metric(&harness, adopted), None, "the copy by which it polls");
 }
 
 /// Guards against a copy that is sent to another relay although an update did not apply to it.
