--- a/tests/relay/fake_relay.rs
+++ b/tests/relay/fake_relay.rs
@@ -1,13 +1,20 @@
 //! A relay beside the tested one that answers as a test says, also with what no correct relay would answer.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use gentianpass::{
     state::{Config, Node},
     wire::{
-        control::Poll,
+        control::{Poll, Update},
         relay::{Message, Reply, Standing},
     },
 };
@@ -30,17 +37,23 @@
 /// A relay that answers as a test says. It closes the connection where the script has no reply.
 pub struct FakeRelay {
     pub addr: SocketAddr,
+    pub connections: Arc<AtomicUsize>,
     messages: Arc<Mutex<Vec<Message>>>,
 }
 
 impl FakeRelay {
     pub async fn start(script: impl FnMut(&Message) -> Option<Reply> + Send + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let relay = Self { addr: listener.local_addr().unwrap(), messages: Arc::default() };
-        let messages = relay.messages.clone();
+        let relay = Self {
+            addr: listener.local_addr().unwrap(),
+            connections: Arc::default(),
+            messages: Arc::default(),
+        };
+        let (connections, messages) = (relay.connections.clone(), relay.messages.clone());
         let script: Arc<Mutex<Script>> = Arc::new(Mutex::new(Box::new(script)));
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                connections.fetch_add(1, Ordering::SeqCst);
                 let (messages, script) = (messages.clone(), script.clone());
                 tokio::spawn(async move {
                     let mut conn = Framed::new(stream, LengthDelimitedCodec::new());
@@ -62,6 +75,16 @@
     pub fn fetched(&self) -> usize {
         self.messages.lock().iter().filter(|it| matches!(it, Message::Fetch(_))).count()
     }
+
+    /// The comparisons that it was asked for.
+    pub fn compared(&self) -> Vec<Standing> {
+        let messages = self.messages.lock();
+        let compared = messages.iter().filter_map(|it| match it {
+            Message::Compare(it) => Some(it.clone()),
+            _ => None,
+        });
+        compared.collect()
+    }
 }
 
 /// How a relay with this configuration describes itself.
@@ -75,6 +98,19 @@
     }
 }
 
+/// A relay that serves by this configuration.
+pub fn serving(name: &'static str, config: Config) -> impl FnMut(&Message) -> Option<Reply> {
+    move |message| {
+        Some(match message {
+            Message::Compare(_) => {
+                Reply::Standing(standing(name, &config, Duration::from_millis(100)))
+            }
+            Message::Fetch(_) => Reply::Config(Update::Config(Box::new(config.clone()))),
+            _ => Reply::Accepted,
+        })
+    }
+}
+
 pub fn node(name: &str, zone: &str, rpc: SocketAddr) -> Node {
     Node { name: name.into(), incarnation: 1, http: rpc, rpc, zone: zone.into(), leaving: false }
 }
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -13,6 +13,7 @@
 mod gather;
 mod leaving;
 mod neighbour;
+mod neighbour_faults;
 mod neighbour_trust;
 mod quota;
 mod responses;
