--- a/tests/relay/rollout.rs
+++ b/tests/relay/rollout.rs
@@ -225,6 +225,23 @@
     assert_eq!(deployment.counts(), (5, 5));
 }
 
+/// Guards against a lease that another relay renews: control hosts go on without a relay that does not poll.
+#[tokio::test]
+async fn trial_lease_confirmed_by_relay() {
+    let deployment = Deployment::start().await;
+    let harness = &deployment.harness;
+    let _second = harness.start_beside(|it| it.rollouts = true).await;
+    deployment.roll_out(1_000_000).await;
+    // Both relays know each other.
+    sleep(Duration::from_millis(1_500)).await;
+    deployment.get_ok(5).await;
+    assert_eq!(deployment.counts(), (0, 5));
+    harness.control.hang_polls_of("relay-1");
+    sleep(Duration::from_millis(3_100)).await;
+    deployment.get_ok(5).await;
+    assert_eq!(deployment.counts(), (5, 5));
+}
+
 /// Guards against requests to old targets that may be gone, or to a new version that may be bad: without a lease in stage
 /// `finishing` neither is certain.
 #[tokio::test]
