relay: what a review of the comparison of relays found

- A confirmation outlived its configuration, so that a revision that the control hosts had lost came back and was confirmed among relays.
What is known is forgotten when the configuration is replaced, an answer from before an adoption confirms nothing, and a revision is only taken from a relay that heard of it after the own last poll, or is confirmed again.
- A neighbour that is gone was asked for ever, one that fails to send its configuration four times a second; both are left out for 5 s.
- A relay of another name at the address was a neighbour.
- A copy that is not served by counted as newer than what was fetched.
- A lag of a revision that is gone never ended.
- A connection with a reply of another kind was used again.

--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -164,7 +164,11 @@
             match answer {
                 Ok(confirmed) => {
                     self.host.freshness.record_answer(poller.current_addr());
-                    let next = self.apply_update(copied, confirmed, resync);
+                    let Some(next) = self.apply_update(copied, confirmed, resync) else {
+                        poller.distrust_current();
+                        tokio::time::sleep(RETRY_DELAY).await;
+                        continue;
+                    };
                     let failed_again = (resync, next) == (Resync::Whole, Resync::Whole);
                     if next == Resync::Whole {
                         // Another control host confirms what this one says, or corrects it.
@@ -228,18 +232,36 @@
     }
 
     /// Applies an update to the copy of the configuration, which was at revision `polled` when the poll was sent, and makes it
-    /// current. Returns how to go on.
-    fn apply_update(&self, polled: Revision, confirmed: PollResponse, resync: Resync) -> Resync {
+    /// current. Returns how to go on; none if the update is older than what was confirmed to another relay, so that the control
+    /// host has not caught up.
+    fn apply_update(
+        &self,
+        polled: Revision,
+        confirmed: PollResponse,
+        resync: Resync,
+    ) -> Option<Resync> {
         let mut copy = self.host.copy.lock();
         let config = &mut *copy;
         let PollResponse { sent_at, mut update, .. } = confirmed;
         let is_whole = matches!(update, Update::Config(_));
         let is_newest = is_whole || matches!(&update, Update::Changes(it) if it.is_empty());
+        let view = self.host.view();
+        let is_outdated = matches!(&update, Update::Config(it) if it.revision < view.revision);
+        if is_outdated && self.host.freshness.is_confirmed_by_relay((view.revision, view.digest)) {
+            let message = "older than what another relay has had confirmed";
+            self.record_failed_update(config, &Error::new(Kind::Conflict, message));
+            return None;
+        }
         if config.revision > polled {
-            // Another relay was faster than the control hosts, whose answer may be from before that.
+            // Another relay was faster than the control hosts, whose answer may be from before that and confirms nothing.
             match &mut update {
-                Update::Changes(changes) => changes.retain(|it| it.revision > config.revision),
-                Update::Config(it) if it.revision < config.revision => return resync,
+                Update::Changes(changes) => {
+                    changes.retain(|it| it.revision > config.revision);
+                    if changes.is_empty() {
+                        return Some(resync);
+                    }
+                }
+                Update::Config(it) if it.revision < config.revision => return Some(resync),
                 Update::Config(_) | Update::Packed(..) => {}
             }
         }
@@ -248,13 +270,16 @@
                 *config = *whole;
                 let cause = format!("revision {}: full configuration", config.revision);
                 self.host.apply(config, &cause, true);
+                if is_outdated {
+                    self.host.freshness.restart();
+                }
                 self.record_config_age(sent_at);
-                return Resync::None;
+                return Some(Resync::None);
             }
             (Resync::Whole, Update::Changes(_)) => {
                 let message = "changes instead of the whole configuration";
                 self.record_failed_update(config, &Error::new(Kind::Internal, message));
-                return Resync::Whole;
+                return Some(Resync::Whole);
             }
             (_, update) => match control::apply_update(config, update) {
                 Ok(cause) => {
@@ -270,11 +295,11 @@
                 }
                 Err(err) => {
                     self.record_failed_update(config, &err);
-                    return Resync::Whole;
+                    return Some(Resync::Whole);
                 }
             },
         }
-        if is_newest { Resync::None } else { resync }
+        Some(if is_newest { Resync::None } else { resync })
     }
 
     /// Records that the copy of the configuration stays as it is, so that its age goes on growing.
--- a/src/relay/freshness.rs
+++ b/src/relay/freshness.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use tokio::{sync::watch, time::timeout};
 
-use crate::{descriptors, policy::rollout::LEASE_MS, relay::host::Host};
+use crate::{descriptors, policy::rollout::LEASE_MS, relay::host::Host, state::Revision};
 
 /// A configuration that was not confirmed for this long is logged as late. While nothing changes, its age cycles up to
 /// two polls and their ways, because a poll is held for a second and the age counts from its sending.
@@ -43,13 +43,35 @@
     age > max_age && ended_polls < POLLS_AFTER_PAUSE
 }
 
+/// The revision and the digest of a configuration.
+pub(super) type Identity = (Revision, u64);
+
+/// A confirmation of a configuration by control hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Known {
+    /// When the poll was sent. Nothing newer was committed before.
+    pub(super) at: Instant,
+    /// When its answer arrived.
+    pub(super) heard_at: Instant,
+}
+
+impl Known {
+    fn merge(known: Option<Self>, other: Self) -> Option<Self> {
+        let merged =
+            |it: Self| Self { at: it.at.max(other.at), heard_at: it.heard_at.max(other.heard_at) };
+        Some(known.map_or(other, merged))
+    }
+}
+
 /// What the polls tell of the configuration.
 #[derive(Default)]
 struct State {
     /// When the poll that last confirmed the configuration was sent. Commits before it are in force.
     confirmed_at: Option<Instant>,
-    /// The same for polls of other relays with the same configuration.
-    confirmed_by_relay_at: Option<Instant>,
+    /// What is known of the configuration, also by the word of other relays.
+    known: Option<Known>,
+    /// The configuration that another relay last said to be confirmed, and when.
+    relay_confirmation: Option<(Identity, Instant)>,
     /// The control host that answered last.
     control_host: Option<SocketAddr>,
     /// Polls that were answered since the last confirmation.
@@ -103,6 +125,7 @@
     pub(super) fn confirm(&self, sent_at: Instant) -> (Duration, bool) {
         let mut state = self.state.lock();
         let before = state.confirmed_at.replace(sent_at);
+        state.known = Known::merge(state.known, Known { at: sent_at, heard_at: Instant::now() });
         (state.answered, state.failed, state.failure) = (0, 0, None);
         drop(state);
         self.ended_poll.send_replace(());
@@ -136,21 +159,32 @@
 
     /// Records that control hosts have confirmed this configuration to another relay. That is no lease: control hosts go on
     /// without a host that does not poll.
-    pub(super) fn confirm_by_relay(&self, sent_at: Instant) {
+    pub(super) fn confirm_by_relay(&self, identity: Identity, known: Known) {
         let mut state = self.state.lock();
-        state.confirmed_by_relay_at = state.confirmed_by_relay_at.max(Some(sent_at));
+        state.known = Known::merge(state.known, known);
+        state.relay_confirmation = Some((identity, known.at));
     }
 
-    /// Up to when nothing newer than the configuration was committed, as far as this relay or another one knows; none
-    /// before the first poll.
-    pub(super) fn known_at(&self) -> Option<Instant> {
-        let state = self.state.lock();
-        state.confirmed_at.max(state.confirmed_by_relay_at)
+    /// Forgets what is known of the configuration, because it is replaced by one for which that does not hold.
+    pub(super) fn restart(&self) {
+        let mut state = self.state.lock();
+        (state.known, state.relay_confirmation) = (None, None);
+    }
+
+    /// Whether another relay has lately had this configuration confirmed.
+    pub(super) fn is_confirmed_by_relay(&self, identity: Identity) -> bool {
+        let confirmation = self.state.lock().relay_confirmation;
+        confirmation.is_some_and(|(it, at)| it == identity && at.elapsed() <= LATE_CONFIG_AGE)
+    }
+
+    /// What this relay or another one knows of the configuration; none before the first poll.
+    pub(super) fn known(&self) -> Option<Known> {
+        self.state.lock().known
     }
 
     /// The time since the configuration was last confirmed, or since the start of the process.
     pub(super) fn age(&self) -> Duration {
-        self.known_at().unwrap_or(self.started_at).elapsed()
+        self.known().map_or(self.started_at, |it| it.at).elapsed()
     }
 
     /// Whether control hosts have confirmed the configuration within the last [`LEASE`].
--- a/src/relay/neighbour.rs
+++ b/src/relay/neighbour.rs
@@ -18,9 +18,10 @@
     policy::ownership,
     relay::{
         follow::ControlSync,
-        freshness::LATE_CONFIG_AGE,
+        freshness::{Known, LATE_CONFIG_AGE},
         host::Host,
         peer::{ACCEPT_TIMEOUT, Peer},
+        settings::Settings,
         view::View,
     },
     state::{Config, Node, Revision},
@@ -31,7 +32,7 @@
 };
 
 /// How often another relay is asked.
-const INTERVAL: Duration = Duration::from_millis(1_000);
+const INTERVAL: Duration = Duration::from_millis(500);
 
 /// The same while this relay knows that it is behind, or its configuration is not confirmed.
 const URGENT_INTERVAL: Duration = Duration::from_millis(250);
@@ -48,31 +49,39 @@
 /// Timeout of the transfer of a configuration.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// How long a relay is left out after it failed.
+const FAILED_RETRY_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Number of relays in other availability zones that a relay compares itself with, each in another zone.
 const OTHER_ZONES: usize = 2;
 
 /// A newer revision than the own one that another relay has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Lag {
-    /// The newest revision that was seen.
+    /// The revision that was seen first.
     pub revision: Revision,
-    /// When a newer revision than the own one was first seen.
+    /// When it was seen.
     pub since: Instant,
+    /// When a newer revision than the own one was last seen.
+    pub seen_at: Instant,
 }
 
 impl Lag {
-    /// The lag after another relay has shown that it has `theirs`. None once the own revision is as new as any that was
-    /// seen.
+    /// The lag after another relay has shown that it has `theirs`. It ends when the own revision is as new as the one that was
+    /// seen first, or when nobody has a newer one any more.
     pub fn update(
         lag: Option<Self>,
         own: Revision,
         theirs: Revision,
         now: Instant,
     ) -> Option<Self> {
-        let known = lag.filter(|it| it.revision > own);
-        let since = known.map_or(now, |it| it.since);
-        let revision = known.map_or(theirs, |it| it.revision.max(theirs));
-        (revision > own).then_some(Self { revision, since })
+        let is_seen = |it: &Self| now.saturating_duration_since(it.seen_at) <= LATE_CONFIG_AGE;
+        let known = lag.filter(|it| it.revision > own && is_seen(it));
+        if theirs <= own {
+            return known;
+        }
+        let new = Self { revision: theirs, since: now, seen_at: now };
+        Some(known.map_or(new, |it| Self { seen_at: now, ..it }))
     }
 
     /// Whether the own polls had the time to bring the revision.
@@ -82,10 +91,15 @@
 }
 
 /// The relays that a relay compares itself with: one of its own availability zone, and some of others, because what keeps
-/// it from following may concern a zone. The same ones as long as they exist, so that few connections are needed.
-fn neighbours<'a>(view: &'a View, name: &str, zone: &str) -> Vec<&'a Node> {
-    let mut others: Vec<_> =
-        view.nodes.iter().filter(|it| it.name != name && !it.leaving).collect();
+/// it from following may concern a zone. The same ones as long as they answer, so that few connections are needed.
+fn neighbours<'a>(
+    view: &'a View,
+    name: &str,
+    zone: &str,
+    has_failed: impl Fn(&Node) -> bool,
+) -> Vec<&'a Node> {
+    let is_other = |it: &&Node| it.name != name && !it.leaving && !has_failed(it);
+    let mut others: Vec<_> = view.nodes.iter().filter(is_other).collect();
     others.sort_by_cached_key(|it| Reverse(ownership::weight(name, &it.name)));
     let mut chosen: Vec<_> =
         others.iter().copied().find(|it| it.zone == zone).into_iter().collect();
@@ -100,13 +114,16 @@
 
 /// What this relay tells of itself.
 pub(super) fn standing(host: &Host, behind: Duration) -> Standing {
+    // Before the view, which may be replaced and confirmed meanwhile.
+    let known = host.freshness.known();
     let view = host.view();
     let micros = |it: Duration| u64::try_from(it.as_micros()).unwrap_or(u64::MAX);
     Standing {
         name: host.cfg.name.clone(),
         revision: view.revision,
         digest: view.digest,
-        age_us: host.freshness.known_at().map(|it| micros(it.elapsed())),
+        age_us: known.map(|it| micros(it.at.elapsed())),
+        heard_us: known.map(|it| micros(it.heard_at.elapsed())),
         behind_us: micros(behind),
     }
 }
@@ -148,6 +165,12 @@
     standing.age_us.map(Duration::from_micros)
 }
 
+/// What another relay knows of its configuration, by its reply to a message sent at `asked_at`.
+fn known(standing: &Standing, asked_at: Instant) -> Option<Known> {
+    let at = |us: Option<u64>| asked_at.checked_sub(Duration::from_micros(us?));
+    Some(Known { at: at(standing.age_us)?, heard_at: at(standing.heard_us)? })
+}
+
 /// The whole configuration by which this relay serves, if it is newer than `revision`.
 pub(super) fn newer_config(host: &Host, revision: Revision) -> Update {
     let copy = host.copy.lock();
@@ -161,12 +184,19 @@
     }
 }
 
-/// Sends a message on a connection to another relay and waits for the reply.
-async fn exchange(peer: &Peer, message: Message, limit: Duration) -> io::Result<Reply> {
+/// Sends a message on a connection to another relay and waits for the reply. A connection with a reply of another kind is
+/// closed.
+async fn exchange<T>(
+    peer: &Peer,
+    message: Message,
+    limit: Duration,
+    accept: impl FnOnce(Reply) -> Option<T>,
+) -> io::Result<T> {
     let exchanged = async {
         let mut conn = peer.connection().await?;
         conn.send(&message).await?;
-        let reply = conn.receive().await?;
+        let reply = accept(conn.receive().await?);
+        let reply = reply.ok_or_else(|| io::Error::other("reply out of order"))?;
         peer.put_idle(conn);
         Ok(reply)
     };
@@ -177,18 +207,13 @@
 #[derive(Default)]
 struct Comparison {
     lag: Option<Lag>,
-    /// The relays that did not answer the last time, so that only the first failure is logged.
-    failed: Vec<SocketAddr>,
+    /// When relays failed to answer a comparison.
+    failed: HashMap<SocketAddr, Instant>,
+    /// When relays failed to send their configuration.
+    failed_fetches: HashMap<SocketAddr, Instant>,
 }
 
 impl Comparison {
-    fn record_failure(&mut self, addr: SocketAddr, what: &str, cause: &str) {
-        if !self.failed.contains(&addr) {
-            log::info!("event=neighbour_failed relay={addr} call={what} cause={cause:?}");
-            self.failed.push(addr);
-        }
-    }
-
     fn interval(&self, host: &Host) -> Duration {
         if self.lag.is_some() || host.freshness.age() > UNCONFIRMED_AGE {
             URGENT_INTERVAL
@@ -197,50 +222,76 @@
         }
     }
 
+    /// Asks one of the neighbours for its standing.
+    async fn ask(&mut self, host: &Arc<Host>, turn: usize) {
+        let now = Instant::now();
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < FAILED_RETRY_INTERVAL;
+        self.failed.retain(|_, at| is_recent(at));
+        self.failed_fetches.retain(|_, at| is_recent(at));
+        let view = host.view();
+        let Settings { name, zone, .. } = &*host.cfg;
+        let chosen = neighbours(&view, name, zone, |it| self.failed.contains_key(&it.rpc));
+        let Some(node) = chosen.get(turn % chosen.len().max(1)) else { return };
+        let peer = host.peers.get(node.rpc);
+        if let Err(err) = self.compare(host, &peer, &node.name).await {
+            log_failure(node.rpc, "compare", &err);
+            self.failed.insert(node.rpc, Instant::now());
+        }
+    }
+
     /// Asks another relay for its standing. Takes over its confirmation if the configurations are the same, and its
     /// configuration if this relay has been behind for too long.
-    async fn compare(&mut self, host: &Arc<Host>, addr: SocketAddr) {
-        let peer = host.peers.get(addr);
+    async fn compare(&mut self, host: &Arc<Host>, peer: &Peer, name: &str) -> io::Result<()> {
         let asked_at = Instant::now();
         let behind = self.lag.map_or(Duration::ZERO, |it| it.since.elapsed());
         let message = Message::Compare(standing(host, behind));
-        let theirs = match exchange(&peer, message, COMPARE_TIMEOUT).await {
-            Ok(Reply::Standing(it)) => it,
-            Ok(_) => return self.record_failure(addr, "compare", "reply out of order"),
-            Err(err) => return self.record_failure(addr, "compare", &err.to_string()),
-        };
-        self.failed.retain(|it| *it != addr);
-        let Some(age) = age(&theirs).filter(|it| *it <= LATE_CONFIG_AGE) else { return };
+        let theirs = exchange(peer, message, COMPARE_TIMEOUT, |reply| match reply {
+            Reply::Standing(it) => Some(it),
+            _ => None,
+        })
+        .await?;
+        if theirs.name != name {
+            return Err(io::Error::other("another relay has its address"));
+        }
+        let Some(known) = known(&theirs, asked_at) else { return Ok(()) };
         let view = host.view();
-        if (theirs.revision, theirs.digest) == (view.revision, view.digest)
-            && let Some(known_at) = asked_at.checked_sub(age)
-        {
-            host.freshness.confirm_by_relay(known_at);
+        let identity = (view.revision, view.digest);
+        if (theirs.revision, theirs.digest) == identity {
+            host.freshness.confirm_by_relay(identity, known);
         }
         let now = Instant::now();
         self.lag = Lag::update(self.lag, view.revision, theirs.revision, now);
-        if self.lag.is_some_and(|it| it.is_due(now)) && theirs.revision > view.revision {
-            self.fetch(host, &peer, asked_at.checked_sub(age)).await;
+        let Some(lag) = self.lag.filter(|it| it.is_due(now)) else { return Ok(()) };
+        // A revision that the control hosts have lost was heard of before the own polls were sent, and is confirmed no more.
+        let is_lost = host.freshness.confirmed_at().is_some_and(|it| known.heard_at < it);
+        let may_fetch = !self.failed_fetches.contains_key(&peer.addr);
+        if (!is_lost || known.at >= lag.since) && may_fetch && theirs.revision > view.revision {
+            self.fetch(host, peer, known).await;
         }
+        Ok(())
     }
 
-    async fn fetch(&mut self, host: &Arc<Host>, peer: &Peer, known_at: Option<Instant>) {
+    async fn fetch(&mut self, host: &Arc<Host>, peer: &Peer, known: Known) {
         let message = Message::Fetch(host.view().revision);
-        match exchange(peer, message, FETCH_TIMEOUT).await.map(unpacked) {
-            Ok(Some(config)) => host.adopt(*config, peer.addr, known_at),
+        match exchange(peer, message, FETCH_TIMEOUT, update).await {
+            Ok(Update::Config(config)) => host.adopt(*config, peer.addr, known),
             // Its own polls have brought it meanwhile.
-            Ok(None) => {}
-            Err(err) => self.record_failure(peer.addr, "fetch", &err.to_string()),
+            Ok(Update::Changes(_) | Update::Packed(..)) => {}
+            Err(err) => {
+                log_failure(peer.addr, "fetch", &err);
+                self.failed_fetches.insert(peer.addr, Instant::now());
+            }
         }
     }
 }
 
-fn unpacked(reply: Reply) -> Option<Box<Config>> {
+fn log_failure(addr: SocketAddr, call: &str, err: &io::Error) {
+    log::info!("event=neighbour_failed relay={addr} call={call} cause={:?}", err.to_string());
+}
+
+fn update(reply: Reply) -> Option<Update> {
     match reply {
-        Reply::Config(update) => match update.unpacked() {
-            Update::Config(config) => Some(config),
-            Update::Changes(_) | Update::Packed(..) => None,
-        },
+        Reply::Config(it) => Some(it.unpacked()),
         _ => None,
     }
 }
@@ -252,19 +303,17 @@
         let mut comparison = Comparison::default();
         for turn in 0_usize.. {
             sleep(comparison.interval(host)).await;
-            let view = host.view();
-            let chosen = neighbours(&view, &host.cfg.name, &host.cfg.zone);
-            let Some(node) = chosen.get(turn % chosen.len().max(1)) else { continue };
-            comparison.compare(host, node.rpc).await;
+            comparison.ask(host, turn).await;
         }
     }
 }
 
 impl Host {
-    /// Takes over a newer configuration from another relay, to which control hosts confirmed it at `known_at`.
-    fn adopt(&self, config: Config, peer: SocketAddr, known_at: Option<Instant>) {
+    /// Takes over a newer configuration from another relay, to which control hosts have confirmed it.
+    fn adopt(&self, config: Config, peer: SocketAddr, known: Known) {
         let mut copy = self.copy.lock();
-        if config.revision <= copy.revision.max(self.view().revision) {
+        let replaced = self.view().revision;
+        if config.revision <= replaced {
             return;
         }
         self.metrics.record_config_fault("adopted");
@@ -272,15 +321,14 @@
             "event=config_adopted relay={peer} revision={} replaced={} version={} age_ms={} \
              control_host={}",
             config.revision,
-            copy.revision,
+            replaced,
             config.routes.version,
             self.config_age_ms(),
             self.freshness.control_host(),
         );
         *copy = config;
         self.apply(&copy, &format!("revision {}: from relay {peer}", copy.revision), false);
-        if let Some(known_at) = known_at {
-            self.freshness.confirm_by_relay(known_at);
-        }
+        self.freshness.restart();
+        self.freshness.confirm_by_relay((copy.revision, self.view().digest), known);
     }
 }
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -44,6 +44,9 @@
     pub digest: u64,
     /// The time since control hosts confirmed that there was nothing newer, in microseconds; `None` if they never did.
     pub age_us: Option<u64>,
+    /// The time since that answer of the control hosts arrived, in microseconds. The age counts from the poll, which may have
+    /// waited for the revision.
+    pub heard_us: Option<u64>,
     /// For how long it has known of a newer revision, in microseconds.
     pub behind_us: u64,
 }
--- a/tests/relay/fake_relay.rs
+++ b/tests/relay/fake_relay.rs
@@ -94,6 +94,7 @@
         revision: config.revision,
         digest: config.digest(),
         age_us: Some(age.as_micros() as u64),
+        heard_us: Some(age.as_micros() as u64),
         behind_us: 0,
     }
 }
