Endpoints: a refused client gets its response although it is still sending

Since the operators' interface bounds its bodies, it refuses a long one before it has read it and closes the connection; the kernel resets a connection that is closed with unread bytes, and the client fails while it writes. That promises nothing, where 413 and 503 do.

--- a/src/inbound/http.rs
+++ b/src/inbound/http.rs
@@ -39,6 +39,10 @@
 /// How long the head of a request may take to arrive, from the end of the previous response on.
 const HEAD_TIMEOUT: Duration = IDLE_TIMEOUT;
 
+/// How long a connection that is being closed is read on. Bytes that are not read would make the kernel reset it, and the
+/// other end might lose the response.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The most that is read at once, in bytes. It is below the first size of hyper's read buffers, which grow when a read fills
 /// them, and stay as large while the connection is idle.
 const READ_BYTES: usize = 4 << 10;
@@ -134,6 +138,8 @@
     has_written: bool,
     /// Whether the connection was told to close.
     is_closing: bool,
+    /// Runs once the last response has been sent.
+    linger: Option<Pin<Box<Sleep>>>,
 }
 
 impl HttpStream {
@@ -152,6 +158,7 @@
             is_busy: false,
             has_written: false,
             is_closing: false,
+            linger: None,
         }
     }
 
@@ -247,6 +254,19 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let Self { stream, linger, .. } = &mut *self;
+        if linger.is_none() {
+            ready!(Pin::new(&mut *stream).poll_shutdown(cx))?;
+        }
+        let linger = linger.get_or_insert_with(|| Box::pin(sleep(LINGER_TIMEOUT)));
+        while linger.as_mut().poll(cx).is_pending() {
+            let mut bytes = [0; READ_BYTES];
+            let mut rest = ReadBuf::new(&mut bytes);
+            let read = ready!(Pin::new(&mut *stream).poll_read(cx, &mut rest));
+            if read.is_err() || rest.filled().is_empty() {
+                break;
+            }
+        }
+        Poll::Ready(Ok(()))
     }
 }
--- a/tests/memory/endpoints.rs
+++ b/tests/memory/endpoints.rs
@@ -2,7 +2,11 @@
 
 use std::{future::pending, time::Duration};
 
-use axum::{Router, routing::get};
+use axum::{
+    Router,
+    http::{StatusCode, header::CONNECTION},
+    routing::{get, post},
+};
 use gentianpass::inbound::{HttpListener, serve};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -37,3 +41,26 @@
     stream.read_to_string(&mut response).await.unwrap();
     assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
 }
+
+/// Guards against a refusal that its client does not get: it is still sending the body, and the connection is reset.
+#[tokio::test]
+async fn refused_while_sending_gets_response() {
+    const PIECES: usize = 10;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let listener = HttpListener::new(listener, "test", MAX_CONNECTIONS, RECEIVE_BYTES);
+    let refuse = async || (StatusCode::PAYLOAD_TOO_LARGE, [(CONNECTION, "close")]);
+    tokio::spawn(serve(listener, Router::new().route("/", post(refuse)), pending()));
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    let length = PIECES * RECEIVE_BYTES;
+    let head = format!("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    for piece in 0..PIECES {
+        let written = stream.write_all(&[b'x'; RECEIVE_BYTES]).await;
+        assert!(written.is_ok(), "piece {piece}: {written:?}");
+        sleep(Duration::from_millis(5)).await;
+    }
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await.unwrap();
+    assert!(response.starts_with("HTTP/1.1 413"), "{response:?}");
+}
