--- a/src/relay/freshness.rs
+++ b/src/relay/freshness.rs
@@ -49,9 +49,9 @@
 /// A confirmation of a configuration by control hosts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Known {
-    /// When the poll was sent. Nothing newer was committed before.
+    /// The time at which the poll was sent. Nothing newer was committed before.
     pub(super) at: Instant,
-    /// When its answer arrived.
+    /// The time at which its answer arrived.
     pub(super) heard_at: Instant,
 }
 
@@ -68,7 +68,7 @@
 struct State {
     /// When the poll that last confirmed the configuration was sent. Commits before it are in force.
     confirmed_at: Option<Instant>,
-    /// What is known of the configuration, also by the word of other relays.
+    /// The latest confirmation of the configuration, by own polls or by those of other relays.
     known: Option<Known>,
     /// The configuration that another relay last said to be confirmed, and when.
     relay_confirmation: Option<(Identity, Instant)>,
@@ -171,13 +171,13 @@
         (state.known, state.relay_confirmation) = (None, None);
     }
 
-    /// Whether another relay has lately had this configuration confirmed.
+    /// Returns true if another relay has had this configuration confirmed within [`LATE_CONFIG_AGE`].
     pub(super) fn is_confirmed_by_relay(&self, identity: Identity) -> bool {
         let confirmation = self.state.lock().relay_confirmation;
         confirmation.is_some_and(|(it, at)| it == identity && at.elapsed() <= LATE_CONFIG_AGE)
     }
 
-    /// What this relay or another one knows of the configuration; none before the first poll.
+    /// The latest confirmation of the configuration, by own polls or by those of other relays; none before the first poll.
     pub(super) fn known(&self) -> Option<Known> {
         self.state.lock().known
     }
--- a/src/relay/neighbour.rs
+++ b/src/relay/neighbour.rs
@@ -31,7 +31,7 @@
     },
 };
 
-/// How often another relay is asked.
+/// Interval between two comparisons.
 const INTERVAL: Duration = Duration::from_millis(500);
 
 /// The same while this relay knows that it is behind, or its configuration is not confirmed.
@@ -40,7 +40,7 @@
 /// A configuration that was not confirmed for this long may be behind. While nothing changes, its age cycles up to two polls.
 const UNCONFIRMED_AGE: Duration = Duration::from_millis(2_200);
 
-/// How long the own polls may take to bring a revision that another relay has.
+/// Time for the own polls to bring a revision that another relay has.
 const MAX_LAG: Duration = Duration::from_millis(500);
 
 /// Timeout of a comparison beyond the round trip, which includes opening the connection.
@@ -49,7 +49,7 @@
 /// Timeout of the transfer of a configuration.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// How long a relay is left out after it failed.
+/// Time for which a relay is left out after it failed.
 const FAILED_RETRY_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Number of relays in other availability zones that a relay compares itself with, each in another zone.
@@ -60,9 +60,9 @@
 pub struct Lag {
     /// The revision that was seen first.
     pub revision: Revision,
-    /// When it was seen.
+    /// The time at which it was seen.
     pub since: Instant,
-    /// When a newer revision than the own one was last seen.
+    /// The last time at which a newer revision than the own one was seen.
     pub seen_at: Instant,
 }
 
@@ -84,7 +84,7 @@
         Some(known.map_or(new, |it| Self { seen_at: now, ..it }))
     }
 
-    /// Whether the own polls had the time to bring the revision.
+    /// Returns true once the own polls had the time to bring the revision.
     pub fn is_due(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.since) >= MAX_LAG
     }
@@ -112,7 +112,7 @@
     chosen
 }
 
-/// What this relay tells of itself.
+/// The standing of this relay.
 pub(super) fn standing(host: &Host, behind: Duration) -> Standing {
     // Before the view, which may be replaced and confirmed meanwhile.
     let known = host.freshness.known();
@@ -165,7 +165,7 @@
     standing.age_us.map(Duration::from_micros)
 }
 
-/// What another relay knows of its configuration, by its reply to a message sent at `asked_at`.
+/// The confirmation of another relay's configuration, by its reply to a message sent at `asked_at`.
 fn known(standing: &Standing, asked_at: Instant) -> Option<Known> {
     let at = |us: Option<u64>| asked_at.checked_sub(Duration::from_micros(us?));
     Some(Known { at: at(standing.age_us)?, heard_at: at(standing.heard_us)? })
@@ -207,9 +207,9 @@
 #[derive(Default)]
 struct Comparison {
     lag: Option<Lag>,
-    /// When relays failed to answer a comparison.
+    /// Relays that failed to answer a comparison, with the time.
     failed: HashMap<SocketAddr, Instant>,
-    /// When relays failed to send their configuration.
+    /// Relays that failed to send their configuration, with the time.
     failed_fetches: HashMap<SocketAddr, Instant>,
 }
 
