quarantine: probes end a wrong suspicion

Cause: two crashes of targets that ran the same path quarantine it. A path that many callers ask for runs at most targets of a service at any moment, so a common crash looks like a request that crashes targets. Only an answer withdraws the suspicion, and while the path is in quarantine nothing is sent that could be answered.

Change: the control hosts grant one relay at a time the right to send the request once (`Change::Probe`), 5 s after the last crash and 20, 80 and 320 s after each probe. An answer withdraws the suspicion as before. A request that does crash targets reaches four more in ten minutes; a probe of a query goes to the suspected shards one after another. `Retry-After` names the time until the next claim. On a split route only the service that is picked counts.

The stub of the control hosts has a clock now that advances.

--- a/src/control/http.rs
+++ b/src/control/http.rs
@@ -216,7 +216,9 @@
             rejected(current, Error::new(Kind::Conflict, message))
         }
         Reply::Rejected(err) => rejected(current, err),
-        Reply::Granted | Reply::Claimed { .. } => rejected(current, Kind::Internal.into()),
+        Reply::Granted | Reply::Claimed { .. } | Reply::Deferred { .. } => {
+            rejected(current, Kind::Internal.into())
+        }
     }
 }
 
--- a/src/control/poller.rs
+++ b/src/control/poller.rs
@@ -279,7 +279,7 @@
         Change::AdvanceRollout(it) => {
             format!("rollout of {} to {:?} is {}", it.service, it.target_version, it.stage)
         }
-        Change::Claim(_) | Change::Settle { .. } => "changed claims".into(),
+        Change::Claim(_) | Change::Settle { .. } | Change::Probe { .. } => "changed claims".into(),
     };
     format!("revision {revision}: {description}")
 }
--- a/src/control/state_machine.rs
+++ b/src/control/state_machine.rs
@@ -38,7 +38,10 @@
             self.tables.departures = bincode::deserialize_from(&mut rest)?;
         }
         if !rest.is_empty() {
-            self.tables.config.set_rollouts(bincode::deserialize_from(rest)?);
+            self.tables.config.set_rollouts(bincode::deserialize_from(&mut rest)?);
+        }
+        if !rest.is_empty() {
+            self.tables.probes = bincode::deserialize_from(rest)?;
         }
         self.history = History::default();
         self.index = index;
@@ -50,10 +53,14 @@
         let mut data = bincode::serialize(&self.tables).expect("tables can be serialized");
         bincode::serialize_into(&mut data, &self.tables.departures)
             .expect("departures can be serialized");
-        let rollouts = self.tables.config.rollouts();
-        if !rollouts.is_empty() {
+        // Parts of later releases are left out while they are empty, from the last one backwards.
+        let (rollouts, probes) = (self.tables.config.rollouts(), &self.tables.probes);
+        if !rollouts.is_empty() || !probes.is_empty() {
             bincode::serialize_into(&mut data, &rollouts).expect("rollouts can be serialized");
         }
+        if !probes.is_empty() {
+            bincode::serialize_into(&mut data, probes).expect("probes can be serialized");
+        }
         data
     }
 
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -63,6 +63,11 @@
     fn unreachable() -> Self {
         Self { may_have_run: false, response: None, cause: NotRunReason::Unreachable.into() }
     }
+
+    /// The task that sent the sub-request has ended without a result.
+    pub(super) fn lost() -> Self {
+        Self { may_have_run: true, response: None, cause: UnknownReason::Disconnected.into() }
+    }
 }
 
 /// The state of a sub-request over all its attempts.
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -391,7 +391,13 @@
             let result = client.submit(None, change.clone(), SUBMIT_TIMEOUT).await;
             if let Err(err) = &result {
                 log::warn!("event=report_failed cause={:?}", err.to_string());
-                self.host.reports.push(change);
+            }
+            match change {
+                Change::Probe { fingerprint } => {
+                    self.host.probes.record_reply(fingerprint, result.as_ref().ok());
+                }
+                change if result.is_err() => self.host.reports.push(change),
+                _ => {}
             }
             result.is_ok()
         });
--- a/src/relay/gather.rs
+++ b/src/relay/gather.rs
@@ -6,7 +6,7 @@
 use futures::{StreamExt, stream::FuturesUnordered};
 use http_body_util::Full;
 use hyper::{Response, header::HeaderValue};
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, timeout_at};
 
 use crate::{
     policy::admission::{self, Overload},
@@ -15,6 +15,8 @@
         exchange::{NotRunReason, TargetResponse},
         group::{self, DelegateEvent},
         host::Host,
+        probe,
+        quarantine::Pass,
         records::merge_records,
         request::Query,
         response::{self, Refusal},
@@ -39,6 +41,7 @@
     host: &Arc<Host>,
     query: &Arc<Query>,
     shards: &Shards,
+    mut pass: Pass,
 ) -> Response<Full<Bytes>> {
     let total = shards.services.len();
     let required = shards.min_shards();
@@ -48,12 +51,17 @@
         return response::refuse(host, query, &refusal);
     }
     let attempts = query.max_attempts();
-    let (direct, groups) = group::partition(host, query, shards);
+    let mut results = ShardResults::default();
+    if let Err(refusal) = probe_in_turn(host, query, &mut pass, &mut results).await {
+        query.detach.set();
+        host.metrics.record_answer(query, "refused");
+        return response::refuse(host, query, &refusal);
+    }
+    let (direct, groups) = group::partition(host, query, shards, &pass);
     let mut calls: FuturesUnordered<_> =
         direct.into_iter().map(|key| call::call(host, query, key, attempts)).collect();
     let mut groups: FuturesUnordered<_> =
         groups.into_iter().map(|it| it.next_event(host)).collect();
-    let mut results = ShardResults::default();
     let soft_deadline = sleep_until(query.soft_deadline.into());
     let hard_deadline = sleep_until(query.hard_deadline.into());
     tokio::pin!(soft_deadline, hard_deadline);
@@ -127,6 +135,29 @@
     admission::admit(predictions, spare)
 }
 
+/// Sends the request to the shards that hold it back, if it is a probe, one after another: if it still crashes targets, it
+/// crashes one of them.
+async fn probe_in_turn<'a>(
+    host: &Arc<Host>,
+    query: &Arc<Query>,
+    pass: &mut Pass,
+    results: &mut ShardResults,
+) -> Result<(), Refusal<'a>> {
+    let Some(permit) = &mut pass.permit else { return Ok(()) };
+    for held in &pass.held {
+        let sent = probe::send(host, query, held.key, permit);
+        let Ok(result) = timeout_at(query.hard_deadline.into(), sent).await else {
+            return Err(Refusal::new(true, true, "timeout"));
+        };
+        results.record_call(result);
+        if results.has_failed() {
+            let may_have_run = results.covered() > 0 || results.may_have_run();
+            return Err(Refusal::new(false, may_have_run, "probe_failed"));
+        }
+    }
+    Ok(())
+}
+
 /// Heeds what the responses to a delegate say: the result passes them on, so that this host must not query the targets
 /// itself later.
 fn retire_leaving(host: &Host, query: &Query, progress: &Progress) {
--- a/src/relay/group.rs
+++ b/src/relay/group.rs
@@ -10,6 +10,7 @@
     relay::{
         host::Host,
         peer::{ACCEPT_TIMEOUT, Peer, PeerConnection},
+        quarantine::Pass,
         records::RECORD_BYTES,
         request::Query,
         view::ServiceKey,
@@ -67,22 +68,24 @@
     }
 }
 
-/// Splits the shards of a request into those that this relay queries itself and groups to delegate. Nothing is
-/// delegated if the route is not served from this region or the results would be too large.
+/// Splits the shards of a request that are not held back into those that this relay queries itself and groups to delegate.
+/// Nothing is delegated if the route is not served from this region or the results would be too large.
 pub(super) fn partition(
     host: &Host,
     query: &Arc<Query>,
     shards: &Shards,
+    pass: &Pass,
 ) -> (Vec<ServiceKey>, Vec<DelegatedGroup>) {
     let route = query.route();
     let homes = query.homes();
     let is_home_region = homes.is_empty() || homes.iter().any(|it| it == host.cfg.own_region());
     if shards.top > MAX_DELEGATED_RECORDS || !is_home_region {
-        return (route.services.clone(), Vec::new());
+        let open = route.services.iter().copied().filter(|it| !pass.holds(*it));
+        return (open.collect(), Vec::new());
     }
     let mut direct = Vec::new();
     let mut by_zone: BTreeMap<&str, Vec<u16>> = BTreeMap::new();
-    for (at, key) in (0..).zip(&route.services) {
+    for (at, key) in (0..).zip(&route.services).filter(|(_, it)| !pass.holds(**it)) {
         match &query.view.service(*key).delegate_zone {
             Some(zone) => by_zone.entry(zone).or_default().push(at),
             None => direct.push(*key),
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -22,7 +22,7 @@
     metric,
     relay::{
         buffer::Buffers, builder::Builder, freshness::Freshness, metrics::Metrics, neighbour,
-        peer::Peers, quota::Quotas, report, retired::Retired, rollout::Rollouts,
+        peer::Peers, probe::Probes, quota::Quotas, report, retired::Retired, rollout::Rollouts,
         settings::Settings, suspect::Suspects, view::View,
     },
     state::{Config, Node},
@@ -72,6 +72,8 @@
     pub(super) buffers: Buffers,
     /// Requests that crashed targets.
     pub(super) suspects: Suspects,
+    /// Claims of probes of quarantined requests.
+    pub(super) probes: Probes,
     /// Processes of targets that have said that they are leaving.
     pub(super) retired: Arc<Retired>,
     /// The rollouts that are running.
@@ -121,6 +123,7 @@
             memory: Arc::new(Account::new(max_held, &registry)),
             buffers: Buffers::new(max_held),
             suspects: Suspects::default(),
+            probes: Probes::default(),
             reports: report::Queue::default(),
             registry,
             copy: Mutex::default(),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -33,6 +33,8 @@
 mod neighbour;
 mod peer;
 mod pool;
+mod probe;
+mod quarantine;
 mod quota;
 mod records;
 mod report;
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -21,10 +21,11 @@
 use crate::{
     policy::canary,
     relay::{
-        call,
         exchange::DetachFlag,
         gather,
         host::Host,
+        probe::{self, Permit},
+        quarantine::{self, Pass},
         quota,
         response::{self, Refusal},
         sender::{self, Denial, Origin, Sender},
@@ -157,13 +158,6 @@
         xxh3_64_with_seed(service.as_bytes(), request)
     }
 
-    /// Whether the request is quarantined at one of the services of its route.
-    fn is_quarantined(&self) -> bool {
-        let View { quarantine, .. } = &*self.view;
-        !quarantine.is_empty()
-            && self.route().config.services().any(|it| quarantine.contains(&self.fingerprint(it)))
-    }
-
     /// Whether the route leads to several shards.
     pub(super) fn has_shards(&self) -> bool {
         matches!(self.route().config.to, To::Shards(_))
@@ -335,10 +329,10 @@
         Ok(query) => Arc::new(query),
         Err(denial) => return response::deny(host, &view, request_id.as_ref(), denial),
     };
-    if query.is_quarantined() {
-        host.metrics.record_answer(&query, "quarantined");
-        return response::refuse(host, &query, &Refusal::new(false, false, "quarantined"));
-    }
+    let pass = match quarantine::admit(host, &query).await {
+        Ok(pass) => pass,
+        Err(wait) => return refuse_quarantined(host, &query, wait),
+    };
     let repeatable = query.route().config.kind == Kind::Idempotent;
     if !repeatable && host.answer_by().is_some_and(|it| it < query.arrived + query.objective()) {
         // It could end here without a known outcome, and be repeated nowhere. Another host has more time for it.
@@ -353,7 +347,7 @@
     }
     tokio::select! {
         biased;
-        response = dispatch(host, &query) => response,
+        response = dispatch(host, &query, pass) => response,
         () = host.out_of_time() => {
             host.metrics.record_answer(&query, "refused");
             response::refuse(host, &query, &Refusal::new(true, true, "leaving"))
@@ -361,13 +355,23 @@
     }
 }
 
-async fn dispatch(host: &Arc<Host>, query: &Arc<Query>) -> Response<Full<Bytes>> {
-    match &query.route().config.to {
-        To::Shards(shards) => gather::run(host, query, shards).await,
-        To::Service(_) => handle_single(host, query, query.route().services[0]).await,
+fn refuse_quarantined(host: &Host, query: &Query, wait: Duration) -> Response<Full<Bytes>> {
+    host.metrics.record_answer(query, "quarantined");
+    let refusal = Refusal::new(false, false, "quarantined").retry_after(wait);
+    response::refuse(host, query, &refusal)
+}
+
+async fn dispatch(host: &Arc<Host>, query: &Arc<Query>, pass: Pass) -> Response<Full<Bytes>> {
+    let route = query.route();
+    match &route.config.to {
+        To::Shards(shards) => gather::run(host, query, shards, pass).await,
+        To::Service(_) => handle_single(host, query, route.services[0], pass.permit).await,
         To::Split(parts) => {
-            let route = query.route();
-            handle_single(host, query, route.services[route.split_picker.pick(parts)]).await
+            let key = route.services[route.split_picker.pick(parts)];
+            match quarantine::admit_to(host, query, &[key]).await {
+                Ok(pass) => handle_single(host, query, key, pass.permit).await,
+                Err(wait) => refuse_quarantined(host, query, wait),
+            }
         }
     }
 }
@@ -376,8 +380,9 @@
     host: &Arc<Host>,
     query: &Arc<Query>,
     key: ServiceKey,
+    permit: Option<Permit>,
 ) -> Response<Full<Bytes>> {
-    let call = call::call(host, query, key, query.max_attempts());
+    let call = probe::send_or_call(host, query, key, query.max_attempts(), permit);
     let result = timeout_at(query.hard_deadline.into(), call).await;
     query.detach.set();
     let refusal = match result {
--- a/src/state/change.rs
+++ b/src/state/change.rs
@@ -129,6 +129,11 @@
         /// Maximum difference between the clocks of two hosts, in milliseconds.
         max_clock_skew_ms: u64,
     },
+    /// Claims the right to send a quarantined request once, to find out whether it still crashes targets.
+    Probe {
+        /// Fingerprint of the request.
+        fingerprint: u64,
+    },
 }
 
 impl Change {
@@ -191,7 +196,7 @@
         /// The current operator revision.
         current: Revision,
     },
-    /// The claim was granted: only the attempt that holds it may send the request.
+    /// The claim was granted: only the attempt that holds it may send the request, or send the probe.
     Granted,
     /// The claim was not granted, because an earlier attempt holds the key.
     Claimed {
@@ -202,4 +207,9 @@
     },
     /// The change was invalid and was not applied.
     Rejected(Error),
+    /// The probe was not granted, because it is too early.
+    Deferred {
+        /// Time until it may be granted, in milliseconds.
+        wait_ms: u64,
+    },
 }
--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -211,7 +211,7 @@
         self.has_operator_label(kind, name, DRAIN_LABEL, "true")
     }
 
-    /// Applies a change and returns whether it altered the configuration. Claims and settlements never do. Copies get only
+    /// Applies a change and returns whether it altered the configuration. Claims, settlements and probes never do. Copies get only
     /// the changes that did, so one that returns false or an error must leave everything but the clock as it was.
     fn apply_change(&mut self, change: &Change) -> Result<bool, Error> {
         match change {
@@ -252,7 +252,7 @@
             Change::Tick => Ok(self.expire_suspects()),
             Change::StartRollout(start) => self.start_rollout(start),
             Change::AdvanceRollout(advance) => self.advance_rollout(advance),
-            Change::Claim(_) | Change::Settle { .. } => Ok(false),
+            Change::Claim(_) | Change::Settle { .. } | Change::Probe { .. } => Ok(false),
         }
     }
 
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -11,6 +11,7 @@
 mod departure;
 mod digest;
 mod label;
+mod probe;
 pub mod rollout;
 mod suspect;
 mod tables;
@@ -25,6 +26,7 @@
     DRAIN_LABEL, Labels, MAX_NAME_BYTES, Match, Object, ObjectKind, SERVICE_LABEL, SOFTWARE_LABEL,
     check_name,
 };
+pub use probe::{PROBE_DELAY_MS, Probes};
 pub use rollout::{Rollout, Stage};
 pub use suspect::{QUARANTINE_MIN_TARGETS, QUARANTINE_MS, Suspect};
 pub use tables::Tables;
--- a/src/state/tables.rs
+++ b/src/state/tables.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     error::{Error, Kind},
-    state::{Change, ChangeId, Claims, Config, Departures, Entry, Phase, Reply, Standing, Target},
+    state::{
+        Change, ChangeId, Claims, Config, Departures, Entry, Phase, Probes, Reply, Standing, Target,
+    },
 };
 
 /// Number of replies kept for changes that are sent again.
@@ -26,6 +28,9 @@
     /// Targets that have said that they leave. Encoded apart: snapshots of earlier releases do not have them.
     #[serde(skip)]
     pub departures: Departures,
+    /// Probes of quarantined requests. Encoded apart like `departures`.
+    #[serde(skip)]
+    pub probes: Probes,
 }
 
 impl Tables {
@@ -86,8 +91,14 @@
             }
             Change::Tick => {
                 self.claims.expire(now_ms);
+                self.probes.retain_quarantined(&self.config);
+                Ok(applied)
+            }
+            Change::Exonerate { fingerprint } => {
+                self.probes.remove(*fingerprint);
                 Ok(applied)
             }
+            Change::Probe { fingerprint } => self.probes.claim(*fingerprint, &self.config),
             _ => Ok(applied),
         }
     }
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -7,7 +7,7 @@
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -291,6 +291,7 @@
     /// The last evidence of each relay.
     evidence: Arc<Mutex<BTreeMap<String, Evidence>>>,
     revision: watch::Sender<u64>,
+    started_at: Instant,
 }
 
 impl StubControl {
@@ -363,7 +364,8 @@
     pub fn apply(&self, change: Change) -> Reply {
         let mut tables = self.tables.lock();
         let base = Some(tables.config.operator_revision);
-        let reply = tables.apply(&Entry { id: rand::random(), base, at_ms: 1, change });
+        let at_ms = 1 + self.started_at.elapsed().as_millis() as u64;
+        let reply = tables.apply(&Entry { id: rand::random(), base, at_ms, change });
         self.revision.send_replace(tables.config.revision);
         reply
     }
@@ -421,6 +423,7 @@
             unanswered: Arc::default(),
             evidence: Arc::default(),
             revision: watch::Sender::new(0),
+            started_at: Instant::now(),
         };
         let control_addr = control::serve(control.clone()).await.unwrap();
         let (addr, relay) = start_relay("relay-1", "near", control_addr, change).await;
--- a/tests/relay/suspect.rs
+++ b/tests/relay/suspect.rs
@@ -1,7 +1,8 @@
 //! Quarantine of requests that crash the targets which run them.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use futures::future::join_all;
 use gentianpass::{
     relay::Settings,
     route::{Kind, PPM_SCALE, Route},
@@ -9,7 +10,7 @@
 use hyper::StatusCode;
 use tokio::time::sleep;
 
-use crate::support::{Behaviour, Harness, StubTarget, gather, record, single};
+use crate::support::{Behaviour, Harness, StubTarget, WAIT_TIMEOUT, gather, record, single};
 
 /// Time for the relay to detect a crash, report it and receive the quarantine in a new view.
 const QUARANTINE_DELAY: Duration = Duration::from_millis(500);
@@ -128,3 +129,90 @@
     sleep(QUARANTINE_DELAY).await;
     assert_eq!(harness.get("/all/x").await.0, StatusCode::OK);
 }
+
+/// Starts the targets that have crashed again at their addresses, and gives all of them this behaviour.
+async fn restart(servers: &mut [StubTarget], behaviour: Behaviour) {
+    for server in servers {
+        if server.request_count() > 0 {
+            *server = StubTarget::start_at(server.addr, behaviour.clone()).await;
+        }
+        *server.behaviour.lock() = behaviour.clone();
+    }
+}
+
+/// Sends the request twenty times a second until the condition holds for a response.
+async fn get_until(harness: &Harness, path: &str, condition: impl Fn(StatusCode, &str) -> bool) {
+    let start = Instant::now();
+    loop {
+        let (status, headers, _) = harness.get(path).await;
+        let missing = headers.get("missing").map_or("", |it| it.to_str().unwrap());
+        if condition(status, missing) {
+            return;
+        }
+        assert!(start.elapsed() < WAIT_TIMEOUT, "last response: {status}, missing {missing:?}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against a popular request that is refused for ten minutes after all targets crashed at once, with nothing sent
+/// that could withdraw the suspicion.
+#[tokio::test]
+async fn popular_request_served_again_after_common_crash() {
+    let (harness, mut servers) = targets(single(Kind::Idempotent), Behaviour::Crash).await;
+    join_all((0..4).map(|_| harness.get("/one/popular"))).await;
+    restart(&mut servers, Behaviour::Answer(record(1))).await;
+    sleep(QUARANTINE_DELAY).await;
+    assert_eq!(harness.get("/one/popular").await.0, StatusCode::SERVICE_UNAVAILABLE);
+    get_until(&harness, "/one/popular", |status, _| status == StatusCode::OK).await;
+    sleep(QUARANTINE_DELAY).await;
+    assert_eq!(harness.get("/one/popular").await.0, StatusCode::OK);
+    let quarantined = harness.control.config().suspects;
+    assert!(quarantined.is_empty(), "{quarantined:?}");
+}
+
+/// Guards against the same for a query that needs all of its shards.
+#[tokio::test]
+async fn popular_query_served_again_after_crash_of_shard() {
+    let route = gather(&["a", "b", "c"], PPM_SCALE);
+    let (harness, mut servers) = targets(route, Behaviour::Answer(record(1))).await;
+    servers[4..8].iter().for_each(|it| *it.behaviour.lock() = Behaviour::Crash);
+    join_all((0..4).map(|_| harness.get("/all/popular"))).await;
+    restart(&mut servers[4..8], Behaviour::Answer(record(1))).await;
+    sleep(QUARANTINE_DELAY).await;
+    assert_eq!(harness.get("/all/popular").await.0, StatusCode::SERVICE_UNAVAILABLE);
+    get_until(&harness, "/all/popular", |status, _| status == StatusCode::OK).await;
+}
+
+/// Guards against probes that let a request which does crash targets reach many of them, through several relays.
+#[tokio::test]
+async fn probes_crash_one_target() {
+    let route = single(Kind::Idempotent);
+    let (first, mut servers) = targets(route, Behaviour::Crash).await;
+    let second = first.start_beside(|_| ()).await;
+    let relays = [&first, &second];
+    join_all(relays.map(|it| it.get("/one/bad"))).await;
+    sleep(QUARANTINE_DELAY).await;
+    restart(&mut servers, Behaviour::Crash).await;
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(12) {
+        join_all(relays.map(|it| it.get("/one/bad"))).await;
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(request_count(&servers), 1, "the next probe follows after 20 s");
+}
+
+/// Guards against a probe that sends a query to all shards at once, of which each loses a target.
+#[tokio::test]
+async fn probe_of_query_crashes_one_target() {
+    let route = gather(&["a", "b", "c"], PPM_SCALE);
+    let (harness, mut servers) = targets(route, Behaviour::Crash).await;
+    join_all((0..2).map(|_| harness.get("/all/bad"))).await;
+    restart(&mut servers, Behaviour::Crash).await;
+    sleep(QUARANTINE_DELAY).await;
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(10) {
+        harness.get("/all/bad").await;
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(request_count(&servers), 1);
+}
--- a/tests/state/copy.rs
+++ b/tests/state/copy.rs
@@ -271,6 +271,7 @@
         1 => of_process().prop_map(|(name, incarnation)| Change::RetireTarget { name, incarnation }),
         3 => suspect,
         1 => (0u64..3).prop_map(|fingerprint| Change::Exonerate { fingerprint }),
+        1 => (0u64..3).prop_map(|fingerprint| Change::Probe { fingerprint }),
         2 => Just(Change::Tick),
         1 => claim().prop_map(Change::Claim),
         1 => (name(), 0u64..2).prop_map(|(key, nonce)| {
--- a/tests/state/main.rs
+++ b/tests/state/main.rs
@@ -4,6 +4,7 @@
 mod copy;
 mod departure;
 mod digest;
+mod probe;
 mod rollout;
 mod tables;
 mod view;
