quarantine: queries do without the shards whose targets crashed

Cause: the relay refused a request if any service of its route was quarantined, as if each shard had to run it.

Change: such a query is held back from the shards where it has crashed a target, and answered without them if the others suffice; the probe of the held-back shard runs beside. A query that has crashed targets of too many shards is refused as a whole, as before, so that it does not go on to the shards that have lost one target so far.

--- a/src/relay/gather.rs
+++ b/src/relay/gather.rs
@@ -11,16 +11,18 @@
 use crate::{
     policy::admission::{self, Overload},
     relay::{
-        call::{self, Failure},
+        call::Failure,
         exchange::{NotRunReason, TargetResponse},
         group::{self, DelegateEvent},
         host::Host,
-        probe,
+        probe::{self, Permit},
         quarantine::Pass,
         records::merge_records,
         request::Query,
         response::{self, Refusal},
-        transmit, wait,
+        transmit,
+        view::ServiceKey,
+        wait,
     },
     route::Shards,
     wire::relay::{FailedShard, Progress},
@@ -45,21 +47,25 @@
 ) -> Response<Full<Bytes>> {
     let total = shards.services.len();
     let required = shards.min_shards();
-    if let Err(overload) = admit(query, total - required) {
+    if let Err(overload) = admit(query, &pass, total - required) {
         host.metrics.record_answer(query, "refused");
         let refusal = Refusal::new(false, false, "overloaded").retry_after(overload.retry_after);
         return response::refuse(host, query, &refusal);
     }
     let attempts = query.max_attempts();
     let mut results = ShardResults::default();
-    if let Err(refusal) = probe_in_turn(host, query, &mut pass, &mut results).await {
+    let mut probe = None;
+    if pass.held.len() <= total - required {
+        probe = leave_out(query, &mut pass, &mut results);
+    } else if let Err(refusal) = probe_in_turn(host, query, &mut pass, &mut results).await {
         query.detach.set();
         host.metrics.record_answer(query, "refused");
         return response::refuse(host, query, &refusal);
     }
     let (direct, groups) = group::partition(host, query, shards, &pass);
-    let mut calls: FuturesUnordered<_> =
-        direct.into_iter().map(|key| call::call(host, query, key, attempts)).collect();
+    let call = |key, permit| probe::send_or_call(host, query, key, attempts, permit);
+    let mut calls: FuturesUnordered<_> = direct.into_iter().map(|key| call(key, None)).collect();
+    calls.extend(probe.map(|(key, permit)| call(key, Some(permit))));
     let mut groups: FuturesUnordered<_> =
         groups.into_iter().map(|it| it.next_event(host)).collect();
     let soft_deadline = sleep_until(query.soft_deadline.into());
@@ -82,7 +88,9 @@
                 DelegateEvent::Rejected { may_have_run } if !may_have_run || attempts > 1 => {
                     let attempts = if may_have_run { attempts - 1 } else { attempts };
                     let keys = group.shards.iter().map(|it| query.route().services[usize::from(*it)]);
-                    calls.extend(keys.map(|key| call::call(host, query, key, attempts)));
+                    calls.extend(keys.map(|key| {
+                        probe::send_or_call(host, query, key, attempts, None)
+                    }));
                 }
                 DelegateEvent::Rejected { .. } | DelegateEvent::Lost =>
                     results.record_lost(group.pending, "delegate_lost"),
@@ -127,12 +135,15 @@
     merged_response(host, query, shards.top, &results, missing)
 }
 
-/// Decides on the request as a whole. Shards that are delegated have no backlog here.
-fn admit(query: &Query, spare: usize) -> Result<(), Overload> {
+/// Decides on the request as a whole. Shards that are delegated have no backlog here, and those that are held back are left
+/// out as far as it can do without them.
+fn admit(query: &Query, pass: &Pass, spare: usize) -> Result<(), Overload> {
     let now = Instant::now();
-    let services = query.route().services.iter().map(|it| query.view.service(*it));
-    let predictions = services.map(|it| wait::prediction(query, it, now));
-    admission::admit(predictions, spare)
+    let left_out = |it: &ServiceKey| pass.held.len() <= spare && pass.holds(*it);
+    let open = query.route().services.iter().filter(|it| !left_out(it));
+    let predictions = open.map(|it| wait::prediction(query, query.view.service(*it), now));
+    let left = spare.checked_sub(pass.held.len());
+    admission::admit(predictions, left.unwrap_or(spare))
 }
 
 /// Sends the request to the shards that hold it back, if it is a probe, one after another: if it still crashes targets, it
@@ -158,6 +169,22 @@
     Ok(())
 }
 
+/// Does without the shards that hold the request back, but for the one that gets it as a probe.
+fn leave_out(
+    query: &Query,
+    pass: &mut Pass,
+    results: &mut ShardResults,
+) -> Option<(ServiceKey, Permit)> {
+    let permit = pass.permit.take();
+    for i in 0..pass.held.len() {
+        query.give_up_shard();
+        if i > 0 || permit.is_none() {
+            results.record_failure(false, "quarantined");
+        }
+    }
+    permit.map(|it| (pass.held[0].key, it))
+}
+
 /// Heeds what the responses to a delegate say: the result passes them on, so that this host must not query the targets
 /// itself later.
 fn retire_leaving(host: &Host, query: &Query, progress: &Progress) {
--- a/src/relay/probe.rs
+++ b/src/relay/probe.rs
@@ -141,8 +141,12 @@
     }
 }
 
-/// Gets the right to send a request as a probe. If it has not been granted, it may be claimed, and the request that makes the
-/// claim waits for the reply.
+/// Gets the right to send a request as a probe if it is granted already. If not, it may be claimed for a later request.
+pub(super) fn try_acquire(host: &Arc<Host>, query: &Query, held: &Held) -> Option<Permit> {
+    get_or_claim(host, query, held).ok()
+}
+
+/// Like [`try_acquire`], but the request that makes the claim waits for the reply.
 pub(super) async fn acquire(host: &Arc<Host>, query: &Query, held: &Held) -> Option<Permit> {
     let now = Instant::now();
     let end = now + query.hard_deadline.saturating_duration_since(now) / MAX_WAIT_DIVISOR;
--- a/src/relay/quarantine.rs
+++ b/src/relay/quarantine.rs
@@ -1,4 +1,5 @@
-//! A quarantined request is refused, unless it may be sent as a probe.
+//! What the quarantine leaves of a request. A request over shards does without those whose targets it has crashed if the others
+//! reach the minimum coverage. Any other one is refused, unless it may be sent as a probe.
 
 use std::{cmp::Reverse, sync::Arc, time::Duration};
 
@@ -42,19 +43,28 @@
 pub(super) async fn admit(host: &Arc<Host>, query: &Query) -> Result<Pass, Duration> {
     let route = query.route();
     match &route.config.to {
-        To::Service(_) | To::Shards(_) => admit_to(host, query, &route.services).await,
+        To::Service(_) => admit_to(host, query, &route.services, 0).await,
         To::Split(_) => Ok(Pass::default()),
+        To::Shards(shards) => {
+            let spare = route.services.len() - shards.min_shards();
+            admit_to(host, query, &route.services, spare).await
+        }
     }
 }
 
-/// Decides how a request may be sent to these services.
+/// Decides how a request may be sent to these services, of which it can do without `spare`.
 pub(super) async fn admit_to(
     host: &Arc<Host>,
     query: &Query,
     keys: &[ServiceKey],
+    spare: usize,
 ) -> Result<Pass, Duration> {
     let held = held_services(query, keys);
     let Some(first) = held.first() else { return Ok(Pass::default()) };
+    if held.len() <= spare {
+        let permit = probe::try_acquire(host, query, first);
+        return Ok(Pass { held, permit });
+    }
     match probe::acquire(host, query, first).await {
         Some(permit) => Ok(Pass { held, permit: Some(permit) }),
         None => Err(host.probes.wait(first.fingerprint)),
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -368,7 +368,7 @@
         To::Service(_) => handle_single(host, query, route.services[0], pass.permit).await,
         To::Split(parts) => {
             let key = route.services[route.split_picker.pick(parts)];
-            match quarantine::admit_to(host, query, &[key]).await {
+            match quarantine::admit_to(host, query, &[key], 0).await {
                 Ok(pass) => handle_single(host, query, key, pass.permit).await,
                 Err(wait) => refuse_quarantined(host, query, wait),
             }
--- a/tests/relay/suspect.rs
+++ b/tests/relay/suspect.rs
@@ -216,3 +216,37 @@
     }
     assert_eq!(request_count(&servers), 1);
 }
+
+/// Guards against a query that is refused as a whole while one of its shards is quarantined, although the others reach the
+/// minimum coverage.
+#[tokio::test]
+async fn query_served_without_quarantined_shard() {
+    let route = gather(&["a", "b", "c", "d"], PPM_SCALE * 3 / 4);
+    let (harness, mut servers) = targets(route, Behaviour::Answer(record(1))).await;
+    servers[4..8].iter().for_each(|it| *it.behaviour.lock() = Behaviour::Crash);
+    join_all((0..4).map(|_| harness.get("/all/popular"))).await;
+    restart(&mut servers[4..8], Behaviour::Answer(record(1))).await;
+    sleep(QUARANTINE_DELAY).await;
+    let (status, headers, _) = harness.get("/all/popular").await;
+    assert_eq!((status, &headers["missing"]), (StatusCode::OK, &"1".parse().unwrap()));
+    assert_eq!(request_count(&servers[4..8]), 0);
+    get_until(&harness, "/all/popular", |status, missing| {
+        assert_eq!(status, StatusCode::OK);
+        missing == "0"
+    })
+    .await;
+}
+
+/// Guards against a query that goes on crashing targets of those shards where it is not quarantined yet.
+#[tokio::test]
+async fn query_that_crashes_all_shards_refused() {
+    let route = gather(&["a", "b", "c", "d"], PPM_SCALE * 3 / 4);
+    let (harness, mut servers) = targets(route, Behaviour::Crash).await;
+    harness.get("/all/bad").await;
+    restart(&mut servers, Behaviour::Crash).await;
+    sleep(QUARANTINE_DELAY).await;
+    for _ in 0..10 {
+        assert_eq!(harness.get("/all/bad").await.0, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    assert_eq!(request_count(&servers), 0);
+}
