quarantine: an answer counts before the crash is committed

Callers saw 503 `quarantined` on a path that other targets had just answered, after two targets crashed at once while one relay ran the path at both: for ten minutes before probes, for five to seven seconds with them.

Cause: an answer withdraws a suspicion only if the configuration shows it. A relay that has seen two crashes reports them at once, and an answer that comes before their commit found nothing to withdraw; the quarantine that followed was never compared with it.

Change: the relay remembers for ten seconds that a request was answered after it had reported a crash, and withdraws the suspicion when the configuration shows it. A later crash at this relay ends that.

The stub of the control hosts can delay commits for it.

--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -21,9 +21,20 @@
     memory::{self, Account},
     metric,
     relay::{
-        buffer::Buffers, builder::Builder, freshness::Freshness, metrics::Metrics, neighbour,
-        peer::Peers, probe::Probes, quota::Quotas, report, retired::Retired, rollout::Rollouts,
-        settings::Settings, suspect::Suspects, view::View,
+        buffer::Buffers,
+        builder::Builder,
+        freshness::Freshness,
+        metrics::Metrics,
+        neighbour,
+        peer::Peers,
+        probe::Probes,
+        quota::Quotas,
+        report,
+        retired::Retired,
+        rollout::Rollouts,
+        settings::Settings,
+        suspect::{self, Suspects},
+        view::View,
     },
     state::{Config, Node},
 };
@@ -231,6 +242,7 @@
         }
         let has_routes = view.table.version > 0;
         self.peers.retain(|addr| view.nodes.iter().any(|it| it.rpc == *addr));
+        suspect::withdraw_answered(self, &view);
         *self.view.write() = Arc::new(view);
         self.has_routes.send_replace(has_routes);
         self.events.record(Event::new(Kind::ConfigApplied, cause));
--- a/src/relay/suspect.rs
+++ b/src/relay/suspect.rs
@@ -2,7 +2,12 @@
 //! the crashes that different relays have seen and distribute the quarantine to all relays. A request that a target
 //! answers after all is no longer suspected: it only ran at a target that crashed for another reason.
 
-use std::{collections::BTreeSet, num::NonZeroUsize, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    num::NonZeroUsize,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use lru::LruCache;
 use parking_lot::Mutex;
@@ -27,6 +32,9 @@
 /// that ran at a crashed target are answered in this time and need no report.
 const FIRST_REPORT_DELAY: Duration = Duration::from_millis(250);
 
+/// How long a report may take until it is in the configuration.
+const REPORT_LIFETIME: Duration = Duration::from_secs(10);
+
 /// What this relay knows of a request that may crash targets.
 #[derive(Default)]
 struct Record {
@@ -34,10 +42,24 @@
     targets: BTreeSet<String>,
     /// Those whose crash has not been queued for a report.
     unqueued: BTreeSet<String>,
+    /// When a target answered it after a crash had been queued for a report that the configuration does not show yet.
+    answered_at: Option<Instant>,
     /// The expiry of the suspicion that this relay last asked to withdraw, so that it does so once.
     withdrawn_until_ms: u64,
 }
 
+impl Record {
+    /// Whether a crash has been queued for a report.
+    fn is_reported(&self) -> bool {
+        self.targets.len() > self.unqueued.len()
+    }
+
+    /// Whether all reports from before an answer have been committed or given up.
+    fn is_outdated(&self) -> bool {
+        self.answered_at.is_some_and(|it| it.elapsed() > REPORT_LIFETIME)
+    }
+}
+
 /// Crashes by request fingerprint.
 pub(super) struct Suspects {
     records: Mutex<LruCache<u64, Record>>,
@@ -57,6 +79,7 @@
         let is_new = record.targets.insert(target.to_owned());
         if is_new {
             record.unqueued.insert(target.to_owned());
+            record.answered_at = None;
         }
         is_new.then_some(record.targets.len())
     }
@@ -73,7 +96,13 @@
     fn record_answer(&self, fingerprint: u64, suspected_until_ms: Option<u64>) -> bool {
         let mut records = self.records.lock();
         let Some(until_ms) = suspected_until_ms else {
-            records.pop(&fingerprint);
+            match records.peek_mut(&fingerprint) {
+                Some(record) if record.is_reported() && !record.is_outdated() => {
+                    record.unqueued.clear();
+                    record.answered_at.get_or_insert_with(Instant::now);
+                }
+                _ => _ = records.pop(&fingerprint),
+            }
             return false;
         };
         let record = records.get_or_insert_mut(fingerprint, Record::default);
@@ -84,6 +113,28 @@
         true
     }
 
+    /// Takes the requests whose suspicion this relay has to withdraw, because they were answered before the configuration
+    /// showed it. Forgets those whose reports have been committed, or never will be.
+    fn take_answered(&self, suspects: &HashMap<u64, u64>) -> Vec<u64> {
+        let mut records = self.records.lock();
+        let answered = records.iter().filter(|(_, it)| it.answered_at.is_some());
+        let answered: Vec<_> = answered.map(|(key, it)| (*key, it.is_outdated())).collect();
+        let mut withdrawn = Vec::new();
+        for (fingerprint, is_outdated) in answered {
+            let until_ms = suspects.get(&fingerprint);
+            let record = records.peek_mut(&fingerprint);
+            if let (Some(until_ms), Some(record)) = (until_ms, record)
+                && record.withdrawn_until_ms != *until_ms
+            {
+                record.withdrawn_until_ms = *until_ms;
+                withdrawn.push(fingerprint);
+            } else if is_outdated {
+                records.pop(&fingerprint);
+            }
+        }
+        withdrawn
+    }
+
     /// Whether no crash is remembered, so that answers need not be recorded.
     fn is_empty(&self) -> bool {
         self.records.lock().is_empty()
@@ -142,3 +193,12 @@
         host.submit_now.notify_one();
     }
 }
+
+/// Withdraws the suspicion of requests that a target has answered before this view showed it.
+pub(super) fn withdraw_answered(host: &Host, view: &View) {
+    for fingerprint in host.suspects.take_answered(&view.suspects) {
+        log::info!("event=suspicion_withdrawn fingerprint={fingerprint:016x}");
+        host.reports.push(Change::Exonerate { fingerprint });
+        host.submit_now.notify_one();
+    }
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -284,6 +284,8 @@
     stopped: Arc<Mutex<Option<String>>>,
     /// Whether submitted changes get no response.
     submissions_hang: Arc<AtomicBool>,
+    /// How long it takes until submitted changes are applied.
+    submission_delay: Arc<Mutex<Duration>>,
     /// Whether polls get no response.
     polls_hang: Arc<AtomicBool>,
     /// The host whose polls get no response.
@@ -305,6 +307,11 @@
         self.submissions_hang.store(true, Ordering::SeqCst);
     }
 
+    /// From now on, submitted changes are applied after this time.
+    pub fn delay_submissions(&self, delay: Duration) {
+        *self.submission_delay.lock() = delay;
+    }
+
     /// From now on, polls get no response, or get one again.
     pub fn hang_polls(&self, hang: bool) {
         self.polls_hang.store(hang, Ordering::SeqCst);
@@ -392,6 +399,8 @@
         if self.submissions_hang.load(Ordering::SeqCst) {
             std::future::pending::<()>().await;
         }
+        let delay = *self.submission_delay.lock();
+        sleep(delay).await;
         Ok(self.apply(submit.change))
     }
 
@@ -419,6 +428,7 @@
             tables: Arc::default(),
             stopped: Arc::default(),
             submissions_hang: Arc::default(),
+            submission_delay: Arc::default(),
             polls_hang: Arc::default(),
             unanswered: Arc::default(),
             evidence: Arc::default(),
--- a/tests/relay/suspect.rs
+++ b/tests/relay/suspect.rs
@@ -250,3 +250,17 @@
     }
     assert_eq!(request_count(&servers), 0);
 }
+
+/// Guards against a quarantine of a request that other targets answer before the control hosts have committed the crashes.
+#[tokio::test]
+async fn answered_before_crashes_are_committed_not_quarantined() {
+    let (harness, servers) = targets(single(Kind::Idempotent), Behaviour::Answer(record(1))).await;
+    harness.control.delay_submissions(Duration::from_millis(100));
+    servers[..2].iter().for_each(|it| *it.behaviour.lock() = Behaviour::Crash);
+    let responses = join_all((0..4).map(|_| harness.get("/one/popular"))).await;
+    assert!(responses.iter().all(|it| it.0 == StatusCode::OK));
+    sleep(QUARANTINE_DELAY).await;
+    let crashed = servers[..2].iter().filter(|it| it.request_count() > 0);
+    assert_eq!(crashed.count(), 2, "not all targets got a request");
+    assert_eq!(harness.get("/one/popular").await.0, StatusCode::OK);
+}
