quarantine: probes reach three targets in ten minutes

A request that crashes targets could reach servers in four retries later than `stabilityWindowMs` after it had crashed the third (BUDGET allows three), if it crashed three at once before its quarantine: probes came after 5, 20, 80 and 320 s.

Change: each delay is five times the one before: 5, 25, 125, 625 s, of which three fit into the ten minutes of a quarantine.

Test: probe::probe_crashes_targets expects three grants in 600 s; it found four before.

--- a/src/state/probe.rs
+++ b/src/state/probe.rs
@@ -15,7 +15,7 @@
 pub const PROBE_DELAY_MS: u64 = 5_000;
 
 /// The delay after a probe is this many times the delay before it, so that a request that does crash targets gets to few.
-const DELAY_FACTOR: u64 = 4;
+const DELAY_FACTOR: u64 = 5;
 
 /// The last probe of a quarantined request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
