relay: the log of a probe's claim names the reply in one word

The line showed the reply in the form for debugging; now `reply=granted`, `deferred`, `refused` or `no_reply`, and the time until the next claim.

--- a/src/relay/probe.rs
+++ b/src/relay/probe.rs
@@ -70,16 +70,24 @@
         let mut claims = self.claims.lock();
         let Some(claim) = claims.peek_mut(&fingerprint) else { return };
         let Claim::Submitted { at } = *claim else { return };
-        *claim = match reply {
-            Some(Reply::Granted) => Claim::Granted { until: at + GRANT_LIFETIME },
+        let (next, label, wait) = match reply {
+            Some(Reply::Granted) => {
+                (Claim::Granted { until: at + GRANT_LIFETIME }, "granted", Duration::ZERO)
+            }
             Some(Reply::Deferred { wait_ms }) => {
-                Claim::Due(now + Duration::from_millis(*wait_ms) + jitter())
+                let wait = Duration::from_millis(*wait_ms) + jitter();
+                (Claim::Due(now + wait), "deferred", wait)
             }
-            // The request is no longer quarantined, or no control host could commit the claim.
-            _ => Claim::Due(now + MAX_JITTER),
+            // The request is no longer quarantined.
+            Some(_) => (Claim::Due(now + MAX_JITTER), "refused", MAX_JITTER),
+            None => (Claim::Due(now + MAX_JITTER), "no_reply", MAX_JITTER),
         };
+        *claim = next;
         drop(claims);
-        log::info!("event=probe_claimed fingerprint={fingerprint:016x} reply=\"{reply:?}\"");
+        log::info!(
+            "event=probe_claimed fingerprint={fingerprint:016x} reply={label} wait_ms={}",
+            wait.as_millis()
+        );
         self.replied.notify_waiters();
     }
 
