relay: how a request may be sent is one value with three cases

`quarantine::Pass` says whether a request goes to all services, to all but some, or as a probe; before, each caller compared the number of held services with what it can do without.

--- a/src/relay/gather.rs
+++ b/src/relay/gather.rs
@@ -16,7 +16,7 @@
         group::{self, DelegateEvent},
         host::Host,
         probe::{self, Permit},
-        quarantine::Pass,
+        quarantine::{Held, Pass},
         records::merge_records,
         request::Query,
         response::{self, Refusal},
@@ -55,12 +55,19 @@
     let attempts = query.max_attempts();
     let mut results = ShardResults::default();
     let mut probe = None;
-    if pass.held.len() <= total - required {
-        probe = leave_out(query, &mut pass, &mut results);
-    } else if let Err(refusal) = probe_in_turn(host, query, &mut pass, &mut results).await {
-        query.detach.set();
-        host.metrics.record_answer(query, "refused");
-        return response::refuse(host, query, &refusal);
+    match &mut pass {
+        Pass::Open => {}
+        Pass::Partial { held, probe: permit } => {
+            probe = leave_out(query, held, permit.take(), &mut results);
+        }
+        Pass::Probe { held, permit } => {
+            let probed = probe_in_turn(host, query, held, permit, &mut results).await;
+            if let Err(refusal) = probed {
+                query.detach.set();
+                host.metrics.record_answer(query, "refused");
+                return response::refuse(host, query, &refusal);
+            }
+        }
     }
     let (direct, groups) = group::partition(host, query, shards, &pass);
     let call = |key, permit| probe::send_or_call(host, query, key, attempts, permit);
@@ -135,28 +142,38 @@
     merged_response(host, query, shards.top, &results, missing)
 }
 
-/// Decides on the request as a whole. Shards that are delegated have no backlog here, and those that are held back are left
-/// out as far as it can do without them.
+/// Decides on the request as a whole. Shards that are delegated have no backlog here, and those that hold the request back
+/// get a probe at most.
 fn admit(query: &Query, pass: &Pass, spare: usize) -> Result<(), Overload> {
     let now = Instant::now();
-    let left_out = |it: &ServiceKey| pass.held.len() <= spare && pass.holds(*it);
-    let open = query.route().services.iter().filter(|it| !left_out(it));
+    let open = query.route().services.iter().filter(|it| !pass.holds(**it));
     let predictions = open.map(|it| wait::prediction(query, query.view.service(*it), now));
-    let left = spare.checked_sub(pass.held.len());
-    admission::admit(predictions, left.unwrap_or(spare))
+    admission::admit(predictions, spare - pass.left_out())
+}
+
+/// Does without the shards that hold the request back, but for the first one if it gets a probe.
+fn leave_out(
+    query: &Query,
+    held: &[Held],
+    permit: Option<Permit>,
+    results: &mut ShardResults,
+) -> Option<(ServiceKey, Permit)> {
+    held.iter().for_each(|_| _ = query.give_up_shard());
+    let probed = usize::from(permit.is_some());
+    held.iter().skip(probed).for_each(|_| results.record_failure(false, "quarantined"));
+    permit.map(|it| (held[0].key, it))
 }
 
-/// Sends the request to the shards that hold it back, if it is a probe, one after another: if it still crashes targets, it
-/// crashes one of them.
-async fn probe_in_turn<'a>(
+/// Sends a probe to the shards that hold the request back, one after another: if it still crashes targets, it crashes one.
+async fn probe_in_turn(
     host: &Arc<Host>,
     query: &Arc<Query>,
-    pass: &mut Pass,
+    held: &[Held],
+    permit: &mut Permit,
     results: &mut ShardResults,
-) -> Result<(), Refusal<'a>> {
-    let Some(permit) = &mut pass.permit else { return Ok(()) };
-    for held in &pass.held {
-        let sent = probe::send(host, query, held.key, permit);
+) -> Result<(), Refusal<'static>> {
+    for it in held {
+        let sent = probe::send(host, query, it.key, permit);
         let Ok(result) = timeout_at(query.hard_deadline.into(), sent).await else {
             return Err(Refusal::new(true, true, "timeout"));
         };
@@ -169,22 +186,6 @@
     Ok(())
 }
 
-/// Does without the shards that hold the request back, but for the one that gets it as a probe.
-fn leave_out(
-    query: &Query,
-    pass: &mut Pass,
-    results: &mut ShardResults,
-) -> Option<(ServiceKey, Permit)> {
-    let permit = pass.permit.take();
-    for i in 0..pass.held.len() {
-        query.give_up_shard();
-        if i > 0 || permit.is_none() {
-            results.record_failure(false, "quarantined");
-        }
-    }
-    permit.map(|it| (pass.held[0].key, it))
-}
-
 /// Heeds what the responses to a delegate say: the result passes them on, so that this host must not query the targets
 /// itself later.
 fn retire_leaving(host: &Host, query: &Query, progress: &Progress) {
--- a/src/relay/quarantine.rs
+++ b/src/relay/quarantine.rs
@@ -23,18 +23,41 @@
 }
 
 /// How a request may be sent.
-#[derive(Default)]
-pub(super) struct Pass {
-    /// The services that get it as a probe only.
-    pub(super) held: Vec<Held>,
-    /// The right to send the probe.
-    pub(super) permit: Option<Permit>,
+pub(super) enum Pass {
+    /// To all services of its route.
+    Open,
+    /// To all but these, of which the first may get it as a probe.
+    Partial { held: Vec<Held>, probe: Option<Permit> },
+    /// As a probe: it cannot do without these.
+    Probe { held: Vec<Held>, permit: Permit },
 }
 
 impl Pass {
-    /// Whether this service gets the request as a probe only.
+    /// The services that get the request as a probe, if at all.
+    fn held(&self) -> &[Held] {
+        match self {
+            Self::Open => &[],
+            Self::Partial { held, .. } | Self::Probe { held, .. } => held,
+        }
+    }
+
+    /// Whether this service gets the request as a probe, if at all.
     pub(super) fn holds(&self, key: ServiceKey) -> bool {
-        self.held.iter().any(|it| it.key == key)
+        self.held().iter().any(|it| it.key == key)
+    }
+
+    /// How many services the request does without.
+    pub(super) fn left_out(&self) -> usize {
+        if let Self::Partial { held, .. } = self { held.len() } else { 0 }
+    }
+
+    /// The right to send the request as a probe.
+    pub(super) fn into_permit(self) -> Option<Permit> {
+        match self {
+            Self::Open => None,
+            Self::Partial { probe, .. } => probe,
+            Self::Probe { permit, .. } => Some(permit),
+        }
     }
 }
 
@@ -44,7 +67,7 @@
     let route = query.route();
     match &route.config.to {
         To::Service(_) => admit_to(host, query, &route.services, 0).await,
-        To::Split(_) => Ok(Pass::default()),
+        To::Split(_) => Ok(Pass::Open),
         To::Shards(shards) => {
             let spare = route.services.len() - shards.min_shards();
             admit_to(host, query, &route.services, spare).await
@@ -60,13 +83,13 @@
     spare: usize,
 ) -> Result<Pass, Duration> {
     let held = held_services(query, keys);
-    let Some(first) = held.first() else { return Ok(Pass::default()) };
+    let Some(first) = held.first() else { return Ok(Pass::Open) };
     if held.len() <= spare {
-        let permit = probe::try_acquire(host, query, first);
-        return Ok(Pass { held, permit });
+        let probe = probe::try_acquire(host, query, first);
+        return Ok(Pass::Partial { held, probe });
     }
     match probe::acquire(host, query, first).await {
-        Some(permit) => Ok(Pass { held, permit: Some(permit) }),
+        Some(permit) => Ok(Pass::Probe { held, permit }),
         None => Err(host.probes.wait(first.fingerprint)),
     }
 }
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -24,7 +24,7 @@
         exchange::DetachFlag,
         gather,
         host::Host,
-        probe::{self, Permit},
+        probe,
         quarantine::{self, Pass},
         quota,
         response::{self, Refusal},
@@ -365,11 +365,11 @@
     let route = query.route();
     match &route.config.to {
         To::Shards(shards) => gather::run(host, query, shards, pass).await,
-        To::Service(_) => handle_single(host, query, route.services[0], pass.permit).await,
+        To::Service(_) => handle_single(host, query, route.services[0], pass).await,
         To::Split(parts) => {
             let key = route.services[route.split_picker.pick(parts)];
             match quarantine::admit_to(host, query, &[key], 0).await {
-                Ok(pass) => handle_single(host, query, key, pass.permit).await,
+                Ok(pass) => handle_single(host, query, key, pass).await,
                 Err(wait) => refuse_quarantined(host, query, wait),
             }
         }
@@ -380,8 +380,9 @@
     host: &Arc<Host>,
     query: &Arc<Query>,
     key: ServiceKey,
-    permit: Option<Permit>,
+    pass: Pass,
 ) -> Response<Full<Bytes>> {
+    let permit = pass.into_permit();
     let call = probe::send_or_call(host, query, key, query.max_attempts(), permit);
     let result = timeout_at(query.hard_deadline.into(), call).await;
     query.detach.set();
--- a/src/relay/suspect.rs
+++ b/src/relay/suspect.rs
@@ -97,10 +97,10 @@
         let mut records = self.records.lock();
         let Some(until_ms) = suspected_until_ms else {
             match records.peek_mut(&fingerprint) {
-                Some(record) if record.is_reported() && !record.is_outdated() => {
-                    record.unqueued.clear();
-                    record.answered_at.get_or_insert_with(Instant::now);
+                Some(record) if record.is_reported() => {
+                    *record = Record { answered_at: Some(Instant::now()), ..Record::default() };
                 }
+                Some(record) if record.answered_at.is_some() && !record.is_outdated() => {}
                 _ => _ = records.pop(&fingerprint),
             }
             return false;
@@ -114,22 +114,20 @@
     }
 
     /// Takes the requests whose suspicion this relay has to withdraw, because they were answered before the configuration
-    /// showed it. Forgets those whose reports have been committed, or never will be.
+    /// showed it. Forgets those that were answered long ago.
     fn take_answered(&self, suspects: &HashMap<u64, u64>) -> Vec<u64> {
         let mut records = self.records.lock();
-        let answered = records.iter().filter(|(_, it)| it.answered_at.is_some());
-        let answered: Vec<_> = answered.map(|(key, it)| (*key, it.is_outdated())).collect();
+        let outdated = records.iter().filter(|(_, it)| it.is_outdated());
+        let outdated: Vec<_> = outdated.map(|(fingerprint, _)| *fingerprint).collect();
+        for fingerprint in outdated {
+            records.pop(&fingerprint);
+        }
         let mut withdrawn = Vec::new();
-        for (fingerprint, is_outdated) in answered {
-            let until_ms = suspects.get(&fingerprint);
-            let record = records.peek_mut(&fingerprint);
-            if let (Some(until_ms), Some(record)) = (until_ms, record)
-                && record.withdrawn_until_ms != *until_ms
-            {
-                record.withdrawn_until_ms = *until_ms;
-                withdrawn.push(fingerprint);
-            } else if is_outdated {
-                records.pop(&fingerprint);
+        for (fingerprint, record) in records.iter_mut().filter(|(_, it)| it.answered_at.is_some()) {
+            let Some(&until_ms) = suspects.get(fingerprint) else { continue };
+            if record.withdrawn_until_ms != until_ms {
+                record.withdrawn_until_ms = until_ms;
+                withdrawn.push(*fingerprint);
             }
         }
         withdrawn
