--- a/src/relay/gather.rs
+++ b/src/relay/gather.rs
@@ -16,7 +16,7 @@
         group::{self, DelegateEvent},
         host::Host,
         probe::{self, Permit},
-        quarantine::{Held, Pass},
+        quarantine::{Held, Pass, QUARANTINED},
         records::merge_records,
         request::Query,
         response::{self, Refusal},
@@ -160,7 +160,7 @@
 ) -> Option<(ServiceKey, Permit)> {
     held.iter().for_each(|_| _ = query.give_up_shard());
     let probed = usize::from(permit.is_some());
-    held.iter().skip(probed).for_each(|_| results.record_failure(false, "quarantined"));
+    held.iter().skip(probed).for_each(|_| results.record_failure(false, QUARANTINED));
     permit.map(|it| (held[0].key, it))
 }
 
--- a/src/relay/quarantine.rs
+++ b/src/relay/quarantine.rs
@@ -3,16 +3,24 @@
 
 use std::{cmp::Reverse, sync::Arc, time::Duration};
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Response;
+
 use crate::{
     relay::{
         host::Host,
         probe::{self, Permit},
         request::Query,
+        response::{self, Refusal},
         view::{ServiceKey, View},
     },
     route::To,
 };
 
+/// Why a request, or a shard of it, gets no response.
+pub(super) const QUARANTINED: &str = "quarantined";
+
 /// A service that a request is held back from.
 #[derive(Clone, Copy)]
 pub(super) struct Held {
@@ -112,3 +120,9 @@
     held.sort_by_key(|it| (Reverse(it.is_quarantined), it.fingerprint));
     held
 }
+
+/// Builds the response for a request that may be sent as a probe after this time at the earliest.
+pub(super) fn refuse(host: &Host, query: &Query, wait: Duration) -> Response<Full<Bytes>> {
+    host.metrics.record_answer(query, QUARANTINED);
+    response::refuse(host, query, &Refusal::new(false, false, QUARANTINED).retry_after(wait))
+}
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -331,7 +331,7 @@
     };
     let pass = match quarantine::admit(host, &query).await {
         Ok(pass) => pass,
-        Err(wait) => return refuse_quarantined(host, &query, wait),
+        Err(wait) => return quarantine::refuse(host, &query, wait),
     };
     let repeatable = query.route().config.kind == Kind::Idempotent;
     if !repeatable && host.answer_by().is_some_and(|it| it < query.arrived + query.objective()) {
@@ -355,12 +355,6 @@
     }
 }
 
-fn refuse_quarantined(host: &Host, query: &Query, wait: Duration) -> Response<Full<Bytes>> {
-    host.metrics.record_answer(query, "quarantined");
-    let refusal = Refusal::new(false, false, "quarantined").retry_after(wait);
-    response::refuse(host, query, &refusal)
-}
-
 async fn dispatch(host: &Arc<Host>, query: &Arc<Query>, pass: Pass) -> Response<Full<Bytes>> {
     let route = query.route();
     match &route.config.to {
@@ -370,7 +364,7 @@
             let key = route.services[route.split_picker.pick(parts)];
             match quarantine::admit_to(host, query, &[key], 0).await {
                 Ok(pass) => handle_single(host, query, key, pass).await,
-                Err(wait) => refuse_quarantined(host, query, wait),
+                Err(wait) => quarantine::refuse(host, query, wait),
             }
         }
     }
